--- /dev/null
+++ b/src/actors/admission.ts
@@ -0,0 +1,133 @@
+import { refuse, type Job, type State } from '../core/state.js';
+import type { Entry, JobId, JobSpec, Team } from '../core/types.js';
+import type { Clock } from '../io/clock.js';
+import { writeStanding, type Standing } from '../wire/schemas.js';
+import { Actor } from './actor.js';
+import type { LogActor } from './log.js';
+
+export interface Reply {
+  status: number;
+  body: object;
+  /** Seconds after which to come back. */
+  retryAfter?: number;
+}
+
+export type UserRequest =
+  | { kind: 'submit'; spec: JobSpec; reply: (r: Reply) => void }
+  | { kind: 'show'; job: JobId; reply: (r: Reply) => void }
+  | { kind: 'withdraw'; job: JobId; reply: (r: Reply) => void };
+
+export const later = (why: string, seconds = 1, status = 503): Reply => ({
+  status,
+  body: { error: why },
+  retryAfter: seconds,
+});
+
+/** What the log says of a finished job is final, so any node may say it at any time. */
+export function finalAnswer(state: State, id: JobId): Reply | null {
+  const f = state.finals.get(id);
+  return f ? { status: 200, body: writeStanding(id, f.s, { done: f.done, running: 0 }) } : null;
+}
+
+const ANSWER_MS = 1500;
+const STUCK_MS = 700;
+const QUEUE_MOST = 400;
+
+/** Takes users' requests on the leader; answers come from recorded state only. */
+export class AdmissionActor extends Actor<UserRequest> {
+  /** Requests that wait for the same record. */
+  private readonly open = new Map<string, ((ok: boolean) => void)[]>();
+
+  constructor(
+    private readonly state: State,
+    private readonly log: LogActor,
+    private readonly clock: Clock,
+    private readonly teams: readonly Team[],
+    private readonly certain: () => boolean,
+    private readonly running: (job: Job) => number,
+  ) {
+    super();
+  }
+
+  protected receive(m: UserRequest): void {
+    if (m.kind === 'submit') this.submit(m.spec, m.reply);
+    else if (m.kind === 'show') m.reply(this.show(m.job));
+    else this.withdraw(m.job, m.reply);
+  }
+
+  private standing(id: JobId): Reply | null {
+    const f = finalAnswer(this.state, id);
+    if (f) return f;
+    const job = this.state.jobs.get(id);
+    if (!job) return null;
+    const running = this.running(job);
+    const s: Standing = running > 0 ? 'running' : 'queued';
+    return { status: 200, body: writeStanding(id, s, { done: job.done, running }) };
+  }
+
+  private show(id: JobId): Reply {
+    const f = finalAnswer(this.state, id);
+    if (f) return f;
+    // Guards forgotten and older answers: only a leader that holds its lock may say what can change.
+    if (!this.certain()) return later('not certain to lead');
+    return this.standing(id) ?? { status: 404, body: { error: 'no such job' } };
+  }
+
+  private submit(spec: JobSpec, reply: (r: Reply) => void): void {
+    const f = finalAnswer(this.state, spec.id);
+    if (f) return reply(f);
+    if (!this.certain()) return reply(later('not certain to lead'));
+    const known = this.standing(spec.id);
+    if (known) return reply(known);
+    const no = refuse(spec, this.teams, this.state.types.values());
+    if (no) return reply(no.status === 503 ? later(no.reason) : { status: 422, body: { error: no.reason } });
+    this.write(`s ${spec.id}`, { e: 'job', spec }, reply, () => ({
+      ...(this.standing(spec.id) ?? later('not written')),
+      status: this.state.jobs.has(spec.id) || this.state.finals.has(spec.id) ? 201 : 503,
+    }));
+  }
+
+  private withdraw(id: JobId, reply: (r: Reply) => void): void {
+    const f = finalAnswer(this.state, id);
+    if (f) return reply(f);
+    if (!this.certain()) return reply(later('not certain to lead'));
+    if (!this.state.jobs.has(id)) {
+      // Its submission may be on its way into a record.
+      return reply(
+        this.open.has(`s ${id}`) ? later('being submitted') : { status: 404, body: { error: 'no such job' } },
+      );
+    }
+    this.write(
+      `w ${id}`,
+      { e: 'withdraw', job: id },
+      reply,
+      () => finalAnswer(this.state, id) ?? later('not written'),
+    );
+  }
+
+  private write(key: string, entry: Entry, reply: (r: Reply) => void, then: () => Reply): void {
+    // What can't be written soon is refused at once: the user is told when to come back.
+    if (this.log.stuckMs > STUCK_MS) return reply(later('the state service does not answer'));
+    if (this.log.pending > QUEUE_MOST) return reply(later('too much at once', 2, 429));
+    let answered = false;
+    const end = (r: Reply): void => {
+      if (answered) return;
+      answered = true;
+      cancel();
+      reply(r);
+    };
+    const cancel = this.clock.after(ANSWER_MS, () => end(later('not written in time')));
+    const done = (ok: boolean): void => end(ok && this.certain() ? then() : later('not written'));
+    const same = this.open.get(key);
+    if (same) return void same.push(done);
+    const list = [done];
+    this.open.set(key, list);
+    this.log.tell({
+      entries: [entry],
+      done: (ok) => {
+        this.open.delete(key);
+        for (const d of list) d(ok);
+      },
+    });
+  }
+}
--- /dev/null
+++ b/src/actors/cloud.ts
@@ -0,0 +1,178 @@
+import type { State } from '../core/state.js';
+import type { MachineId, MachineType, Steady } from '../core/types.js';
+import type { Clock } from '../io/clock.js';
+import type { Logger } from '../io/logger.js';
+import type { Cloud } from '../wire/cloud.js';
+import type { Listed } from '../wire/schemas.js';
+import { Actor } from './actor.js';
+import type { LogActor } from './log.js';
+
+type CloudMessage = { t: 'tick' };
+
+const place = (type: string, zone: string, spot: boolean): string => `${type}|${zone}|${spot}`;
+
+/** Rents, returns and lists machines within the cloud's rate. */
+export class CloudActor extends Actor<CloudMessage> {
+  private readonly renting = new Set<string>();
+  private readonly returning = new Set<MachineId>();
+  private readonly dry = new Map<string, { until: Steady; pause: number }>();
+  private tokens: number;
+  private tokensAt: Steady;
+  private listedAt = -Infinity;
+  private listing = false;
+  private typesAt = -Infinity;
+  private typing = false;
+  private notBefore = -Infinity;
+  private readonly strays = new Map<MachineId, Steady>();
+
+  constructor(
+    private readonly state: State,
+    private readonly cloud: Cloud,
+    private readonly log: LogActor,
+    private readonly clock: Clock,
+    private readonly limits: { rps: number; list_lag_s: number },
+    private readonly certain: () => boolean,
+    private readonly logger: Logger,
+  ) {
+    super();
+    this.tokens = limits.rps;
+    this.tokensAt = clock.steady();
+  }
+
+  /** Whether a type, zone and kind had nothing to give a moment ago. */
+  backoff(type: string, zone: string, spot: boolean): boolean {
+    const d = this.dry.get(place(type, zone, spot));
+    return d !== undefined && d.until > this.clock.steady();
+  }
+
+  private spend(): boolean {
+    const now = this.clock.steady();
+    const rate = this.limits.rps * 0.85;
+    this.tokens = Math.min(this.limits.rps, this.tokens + ((now - this.tokensAt) / 1000) * rate);
+    this.tokensAt = now;
+    if (this.tokens < 1) return false;
+    this.tokens--;
+    return true;
+  }
+
+  protected receive(): void {
+    if (!this.certain()) return;
+    const now = this.clock.steady();
+    if (now < this.notBefore) return;
+    this.giveBack();
+    this.rent();
+    if ((this.state.types.size === 0 || now - this.typesAt > 60_000) && !this.typing && this.spend())
+      void this.readTypes();
+    if (now - this.listedAt > 4000 && !this.listing && this.spend()) void this.list();
+  }
+
+  private trouble(): void {
+    this.notBefore = this.clock.steady() + 1500;
+  }
+
+  private async readTypes(): Promise<void> {
+    this.typing = true;
+    const types = await this.cloud.types();
+    this.typing = false;
+    if (this.stopped) return;
+    if (!types) return this.trouble();
+    this.typesAt = this.clock.steady();
+    const same = (a: MachineType | undefined, b: MachineType): boolean =>
+      a !== undefined && JSON.stringify(a) === JSON.stringify(b);
+    if (types.length !== this.state.types.size || types.some((t) => !same(this.state.types.get(t.name), t)))
+      this.log.tell({ entries: [{ e: 'types', types }] });
+  }
+
+  private rent(): void {
+    for (const h of this.state.hires.values()) {
+      if (this.renting.has(h.name) || !this.spend()) continue;
+      this.renting.add(h.name);
+      void this.cloud.hire(h).then((r) => {
+        if (this.stopped) return;
+        // Without an answer the same request is repeated under the same name.
+        if (r.r === 'trouble') {
+          this.renting.delete(h.name);
+          return this.trouble();
+        }
+        const machines = r.r === 'hired' ? r.machines : [];
+        const key = place(h.type, h.zone, h.spot);
+        if (machines.length < h.n) {
+          const pause = Math.min(30_000, (this.dry.get(key)?.pause ?? 4000) * 1.5);
+          this.dry.set(key, { until: (this.clock.steady() + pause) as Steady, pause });
+        } else this.dry.delete(key);
+        this.logger.info({ hire: h.name, place: key, asked: h.n, got: machines.length }, 'rented');
+        this.log.tell({
+          entries: [{ e: 'hired', name: h.name, m: machines }],
+          done: () => this.renting.delete(h.name),
+        });
+      });
+    }
+  }
+
+  private giveBack(): void {
+    const due: MachineId[] = [];
+    for (const m of this.state.machines.values())
+      if (m.drop && !this.returning.has(m.id) && due.length < 100) due.push(m.id);
+    if (due.length === 0 || !this.spend()) return;
+    for (const id of due) this.returning.add(id);
+    void this.cloud.giveBack(due).then((ok) => {
+      if (this.stopped) return;
+      if (!ok) {
+        for (const id of due) this.returning.delete(id);
+        return this.trouble();
+      }
+      // The answer is the sure fence: the machines and all that was on them are gone.
+      for (let i = 0; i < due.length; i += 50)
+        this.log.tell({
+          entries: [{ e: 'gone', m: due.slice(i, i + 50) }],
+          done: () => {
+            for (const id of due) this.returning.delete(id);
+          },
+        });
+    });
+  }
+
+  private async list(): Promise<void> {
+    this.listing = true;
+    this.listedAt = this.clock.steady();
+    const all: Listed[] = [];
+    for (let after: string | null = null; ;) {
+      const p = await this.cloud.page(after);
+      if (this.stopped) return;
+      if (!p) {
+        this.listing = false;
+        return this.trouble();
+      }
+      all.push(...p.machines);
+      if (!p.more || p.machines.length === 0) break;
+      after = p.machines[p.machines.length - 1]!.id;
+    }
+    this.listing = false;
+    if (!this.certain()) return;
+    const failed: MachineId[] = [];
+    const strays: MachineId[] = [];
+    const now = this.clock.steady();
+    for (const l of all) {
+      const m = this.state.machines.get(l.id);
+      if (m) {
+        if (l.state === 'failed' && !m.drop) failed.push(l.id);
+        continue;
+      }
+      // The list is late: a machine that was returned a moment ago still stands in it.
+      if (this.state.gone.has(l.id)) continue;
+      if (this.state.hires.size > 0) continue;
+      const since = this.strays.get(l.id) ?? now;
+      this.strays.set(l.id, since);
+      if (l.state === 'failed' || now - since > 20_000) strays.push(l.id);
+    }
+    if (failed.length > 0)
+      this.log.tell({ entries: [{ e: 'drop', m: failed.slice(0, 100), why: 'failed' }] });
+    if (strays.length > 0) {
+      this.logger.info({ strays }, 'returning machines that nobody asked for');
+      if (this.spend() && (await this.cloud.giveBack(strays.slice(0, 100))) && !this.stopped) {
+        this.log.tell({ entries: [{ e: 'gone', m: strays.slice(0, 100) }] });
+        for (const s of strays) this.strays.delete(s);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/actors/controller.ts
@@ -0,0 +1,174 @@
+import type { JobId, JobSpec, Term, WorkerReport, Command } from '../core/types.js';
+import type { Peers, PeerAnswer, PeerAsk, PeerStatus } from '../io/peers.js';
+import { sleep } from '../io/clock.js';
+import type { LeaderValue } from '../wire/keys.js';
+import { finalAnswer, later, type Reply, type UserRequest } from './admission.js';
+import { Follower } from './follower.js';
+import { LeaderActor, type LeaderPorts } from './leader.js';
+import { Lock } from './lock.js';
+
+export const LOCK_MS = 2500;
+
+export type Hello =
+  { answer: 'stay'; term: Term; orders: Command[] } | { answer: 'elsewhere'; leader: string | null };
+
+/** One node: follows the log, contends for the lock, leads while it holds it. */
+export class Controller {
+  private readonly follower: Follower;
+  private readonly lock: Lock;
+  private leading: LeaderActor | null = null;
+  private leader: LeaderValue | null = null;
+  private highest = 0;
+  private peers: Peers | null = null;
+  private leaderSeen = -Infinity;
+
+  constructor(
+    private readonly ports: LeaderPorts,
+    private readonly run: string,
+  ) {
+    const { clock, store, logger, settings } = ports;
+    this.lock = new Lock(store, clock, { node: settings.node, term: 0, run }, LOCK_MS, logger, (why) =>
+      this.stepDown(why),
+    );
+    this.follower = new Follower(store, clock, logger, {
+      free: () => this.contend(),
+      leader: (v) => {
+        this.leader = v;
+        if (v) this.highest = Math.max(this.highest, v.term);
+      },
+    });
+  }
+
+  async start(peers: Peers): Promise<void> {
+    this.peers = peers;
+    await this.buryFormerSelf();
+    void this.follower.run();
+  }
+
+  /** A lock still held by an earlier run of this node holds nobody: that run is over. */
+  private async buryFormerSelf(): Promise<void> {
+    const { store, settings } = this.ports;
+    const k = await store.get('q/leader');
+    const v = k?.value as LeaderValue | undefined;
+    if (k && k.lease !== null && v?.node === settings.node && v.run !== this.run)
+      await store.endLease(k.lease);
+  }
+
+  private async contend(): Promise<void> {
+    const { clock, random, logger } = this.ports;
+    await sleep(clock, random.below(60));
+    const held = await this.lock.contend();
+    if (!held) return;
+    this.highest = Math.max(this.highest, held.term);
+    this.follower.pause();
+    for (;;) {
+      if (!this.lock.holding || this.lock.holding.term !== held.term) return;
+      if (await this.follower.catchUp()) break;
+      await sleep(clock, 100);
+    }
+    if (this.lock.holding?.term !== held.term) return;
+    this.leader = { node: this.ports.settings.node, term: held.term, run: this.run };
+    this.leading = new LeaderActor(
+      this.ports,
+      this.follower.state,
+      this.lock,
+      held,
+      this.follower.head,
+      (why) => this.lock.lose(why),
+      (term) => this.higher(term),
+    );
+    logger.info({ term: held.term, next: this.follower.state.next }, 'leading');
+  }
+
+  private stepDown(why: string): void {
+    const was = this.leading;
+    this.leading = null;
+    this.leader = null;
+    was?.stop();
+    this.ports.logger.info({ why }, 'following');
+    this.follower.resume();
+  }
+
+  /** A higher term was seen: somebody else leads. */
+  private higher(term: Term): void {
+    if (term <= this.highest) return;
+    this.highest = term;
+    if (this.lock.holding && term > this.lock.holding.term) this.lock.release(`term ${term} seen`);
+  }
+
+  status(): PeerStatus {
+    const { clock, settings } = this.ports;
+    return {
+      node: settings.node,
+      run: this.run,
+      term: this.highest,
+      leading: this.leading !== null && this.lock.certain(),
+      workers: this.leading?.workers.heard(4000) ?? 0,
+      stateAge: this.leading
+        ? this.lock.uncertainFor()
+        : Math.min(1e9, clock.steady() - this.follower.lastAnswer),
+    };
+  }
+
+  peerStatus(s: PeerStatus): void {
+    this.higher(s.term as Term);
+    if (s.leading) this.leaderSeen = this.ports.clock.steady();
+  }
+
+  /** Whether this node can take requests. Slow to say no: each removal costs a longer pause. */
+  ready(): boolean {
+    if (!this.follower.loaded) return false;
+    return this.leading !== null || this.ports.clock.steady() - this.leaderSeen < 8000;
+  }
+
+  hello(r: WorkerReport, reply: (h: Hello) => void): void {
+    const l = this.leading;
+    if (!l) return reply({ answer: 'elsewhere', leader: this.otherLeader() });
+    l.workers.tell({
+      t: 'report',
+      report: r,
+      reply: (orders) =>
+        reply(
+          orders
+            ? { answer: 'stay', term: l.term, orders }
+            : { answer: 'elsewhere', leader: this.otherLeader() },
+        ),
+    });
+  }
+
+  private otherLeader(): string | null {
+    return this.leader && this.leader.node !== this.ports.settings.node ? this.leader.node : null;
+  }
+
+  async user(ask: { kind: UserRequest['kind']; job: JobId; spec?: JobSpec }): Promise<Reply> {
+    const here = this.here(ask);
+    if (here) return here;
+    const f = finalAnswer(this.follower.state, ask.job);
+    if (f) return f;
+    const to = this.otherLeader();
+    if (!to || !this.peers) return later('no leader known');
+    const a = await this.peers.ask(to, {
+      kind: ask.kind,
+      job: ask.job,
+      spec: ask.spec ? JSON.stringify(ask.spec) : undefined,
+    });
+    if (!a) return later('the leader does not answer');
+    return { status: a.status, body: JSON.parse(a.body) as object, retryAfter: a.retryAfter || undefined };
+  }
+
+  private here(ask: { kind: UserRequest['kind']; job: JobId; spec?: JobSpec }): Promise<Reply> | null {
+    const l = this.leading;
+    if (!l) return null;
+    return new Promise((reply) => {
+      if (ask.kind === 'submit') l.admission.tell({ kind: 'submit', spec: ask.spec!, reply });
+      else l.admission.tell({ kind: ask.kind, job: ask.job, reply });
+    });
+  }
+
+  /** A peer passes on what its user asked. */
+  async asked(a: PeerAsk): Promise<PeerAnswer> {
+    const spec = a.spec ? (JSON.parse(a.spec) as JobSpec) : undefined;
+    const r = (await this.here({ kind: a.kind, job: a.job as JobId, spec })) ?? later('not leading');
+    return { status: r.status, body: JSON.stringify(r.body), retryAfter: r.retryAfter ?? 0 };
+  }
+}
--- /dev/null
+++ b/src/actors/follower.ts
@@ -0,0 +1,168 @@
+import { inflateSync } from 'node:zlib';
+import { State } from '../core/state.js';
+import type { LogRecord, RecordNo } from '../core/types.js';
+import { sleep, type Clock } from '../io/clock.js';
+import type { Logger } from '../io/logger.js';
+import {
+  CHUNKS,
+  HEAD,
+  LEADER,
+  RECORDS,
+  ROOT,
+  chunkKey,
+  recordKey,
+  recordOf,
+  type HeadValue,
+  type LeaderValue,
+} from '../wire/keys.js';
+import type { Revision, Store } from '../wire/store.js';
+
+/** Follows the log by watch, so that a take-over finds the state at hand. */
+export class Follower {
+  state = new State();
+  loaded = false;
+  leader: LeaderValue | null = null;
+  head: HeadValue = { upto: 0, chunks: 0 };
+  /** Steady time of the last answer of the state service. */
+  lastAnswer = -Infinity;
+  private revision: Revision = 0;
+  private paused = false;
+  private stopped = false;
+
+  constructor(
+    private readonly store: Store,
+    private readonly clock: Clock,
+    private readonly log: Logger,
+    private readonly on: {
+      /** The lock is free; resolves when the attempt to take it is over. */
+      free: () => Promise<void>;
+      leader: (v: LeaderValue | null) => void;
+    },
+  ) {}
+
+  async run(): Promise<void> {
+    while (!this.stopped) {
+      if (this.paused) {
+        await sleep(this.clock, 50);
+        continue;
+      }
+      if (!this.loaded) {
+        if (!(await this.load())) {
+          await sleep(this.clock, 250);
+          continue;
+        }
+      }
+      if (this.leader === null) {
+        await this.on.free();
+        if (this.paused) continue;
+      }
+      const before = this.clock.steady();
+      const w = await this.store.watch(ROOT, this.revision, this.leader === null ? 200 : 10_000);
+      if (this.paused || this.stopped) continue;
+      if (w === 'too_old') {
+        this.loaded = false;
+        continue;
+      }
+      if (!w) {
+        await sleep(this.clock, 250);
+        continue;
+      }
+      this.lastAnswer = this.clock.steady();
+      this.revision = w.revision;
+      let deposed = false;
+      for (const c of w.changes) {
+        if (c.key === LEADER) {
+          this.setLeader(c.removed ? null : (c.value as LeaderValue));
+          deposed ||= c.removed;
+        } else if (c.key === HEAD && !c.removed) this.head = c.value as HeadValue;
+        else if (c.key.startsWith(RECORDS) && !c.removed) this.take(recordOf(c.key), c.value as LogRecord);
+      }
+      // Bounded use of the state service: at most ten watches a second, but none late to an election.
+      const spent = this.clock.steady() - before;
+      if (!deposed && spent < 100) await sleep(this.clock, 100 - spent);
+    }
+  }
+
+  private setLeader(v: LeaderValue | null): void {
+    this.leader = v;
+    this.on.leader(v);
+  }
+
+  private take(no: RecordNo, rec: LogRecord): void {
+    if (no < this.state.next) return;
+    if (no > this.state.next) {
+      this.log.info({ no, next: this.state.next }, 'gap in the log, reading it again');
+      this.loaded = false;
+      return;
+    }
+    this.state.apply(no, rec);
+  }
+
+  /** Reads snapshot and records. False when that could not be done now. */
+  async load(): Promise<boolean> {
+    const from = this.clock.steady();
+    const all = await this.store.list(ROOT, null);
+    if (!all) return false;
+    const keys = new Map(all.items.map((i) => [i.key, i.value]));
+    const head = (keys.get(HEAD) as HeadValue | undefined) ?? { upto: 0, chunks: 0 };
+    let state = new State();
+    if (head.upto > 0) {
+      const parts: string[] = [];
+      for (let i = 0; i < head.chunks; i++) {
+        const c = keys.get(chunkKey(head.upto, i));
+        if (typeof c !== 'string') return false;
+        parts.push(c);
+      }
+      state = State.load(JSON.parse(inflateSync(Buffer.from(parts.join(''), 'base64')).toString()));
+    }
+    for (const i of all.items) {
+      if (!i.key.startsWith(RECORDS)) continue;
+      const no = recordOf(i.key);
+      if (no < state.next) continue;
+      if (no > state.next) return false;
+      state.apply(no, i.value as LogRecord);
+    }
+    this.state = state;
+    this.head = head;
+    this.revision = all.revision;
+    this.loaded = true;
+    this.lastAnswer = this.clock.steady();
+    this.setLeader((keys.get(LEADER) as LeaderValue | undefined) ?? null);
+    this.log.info({ next: state.next, ms: Math.round(this.clock.steady() - from) }, 'state loaded');
+    return true;
+  }
+
+  /** Reads what was written after the last record known here. */
+  async catchUp(): Promise<boolean> {
+    const rest = await this.store.list(RECORDS, recordKey(this.state.next - 1));
+    if (!rest) return false;
+    const first = rest.items[0];
+    if (first && recordOf(first.key) > this.state.next) return this.load();
+    for (const i of rest.items) this.take(recordOf(i.key), i.value as LogRecord);
+    if (rest.items.length === 0) {
+      // Nothing after ours: either all is here, or it was folded meanwhile.
+      const h = await this.store.get(HEAD);
+      if (h === undefined) return false;
+      if (h && (h.value as HeadValue).upto >= this.state.next) return this.load();
+    }
+    return this.loaded;
+  }
+
+  pause(): void {
+    this.paused = true;
+  }
+
+  /** After leading: what was written since is read anew. */
+  resume(): void {
+    this.paused = false;
+    this.loaded = false;
+  }
+
+  get prefixOfChunks(): string {
+    return CHUNKS;
+  }
+
+  stop(): void {
+    this.stopped = true;
+  }
+}
--- /dev/null
+++ b/src/actors/leader.ts
@@ -0,0 +1,303 @@
+import { deflateSync } from 'node:zlib';
+import { giveBack, rent, type CapacityInput } from '../core/capacity.js';
+import { place, type Random } from '../core/placement.js';
+import type { Job, State } from '../core/state.js';
+import type { Entry, LogRecord, MachineId, RecordNo, Term } from '../core/types.js';
+import { sleep, type Cancel, type Clock } from '../io/clock.js';
+import type { HttpCall } from '../io/http-client.js';
+import type { Logger } from '../io/logger.js';
+import type { Cloud } from '../wire/cloud.js';
+import { HEAD, LEADER, chunkKey, recordKey, type HeadValue } from '../wire/keys.js';
+import type { Settings } from '../wire/settings.js';
+import type { Op, Store } from '../wire/store.js';
+import { Actor } from './actor.js';
+import { AdmissionActor } from './admission.js';
+import { CloudActor } from './cloud.js';
+import type { Held, Lock } from './lock.js';
+import { LogActor } from './log.js';
+import { WorkersActor } from './workers.js';
+
+export interface LeaderPorts {
+  clock: Clock;
+  store: Store;
+  cloud: Cloud;
+  call: HttpCall;
+  random: Random;
+  logger: Logger;
+  settings: Settings;
+}
+
+const ROUND_MS = 1000;
+const SAMPLE = 5;
+const FOLD_EVERY = 250;
+
+type LeaderMessage = { t: 'round' };
+
+/** One term of leading: the log's pen, and the rounds that decide what runs where. */
+export class LeaderActor extends Actor<LeaderMessage> {
+  readonly log: LogActor;
+  readonly admission: AdmissionActor;
+  readonly workers: WorkersActor;
+  readonly cloud: CloudActor;
+  readonly term: Term;
+  private readonly clock: Clock;
+  private cancelTick: Cancel | null = null;
+  private deciding = false;
+  private hires = 0;
+  /** Records whose starts and stops no report has shown yet. */
+  private outstanding = new Map<RecordNo, Job[]>();
+  private folding = false;
+  private soon = false;
+
+  constructor(
+    private readonly ports: LeaderPorts,
+    private readonly state: State,
+    private readonly lock: Lock,
+    held: Held,
+    private head: HeadValue,
+    onDeposed: (why: string) => void,
+    onHigher: (term: Term) => void,
+  ) {
+    super();
+    const { clock, store, cloud, call, settings, logger } = ports;
+    const c = settings.cluster;
+    this.clock = clock;
+    this.term = held.term;
+    const certain = (): boolean => !this.stopped && lock.certain();
+    this.stamp = held.stamp;
+    this.log = new LogActor(state, store, lock, clock, c.state, held.term, held.stamp, logger, onDeposed);
+    this.workers = new WorkersActor(
+      state,
+      this.log,
+      call,
+      clock,
+      held.term,
+      c.workers.report_s,
+      certain,
+      () => this.hurry(),
+      onHigher,
+      logger,
+    );
+    const teams = c.teams.map((t) => ({
+      name: t.name,
+      cpus: t.cpus,
+      cpusMax: t.cpus_max,
+      gpus: t.gpus,
+      gpusMax: t.gpus_max,
+    }));
+    this.teams = teams;
+    this.admission = new AdmissionActor(state, this.log, clock, teams, certain, (j) =>
+      this.workers.running(j),
+    );
+    this.cloud = new CloudActor(state, cloud, this.log, clock, c.cloud, certain, logger);
+    this.log.committed.subscribe(({ no, record }) => this.committed(no, record));
+    const all = [...state.jobs.values()].filter((j) => j.live.size > 0);
+    if (all.length > 0) this.outstanding.set((state.next - 1) as RecordNo, all);
+    this.tick();
+  }
+  private readonly stamp: number;
+  private readonly teams;
+
+  private tick(): void {
+    if (this.stopped) return;
+    this.cancelTick = this.clock.after(ROUND_MS, () => this.tick());
+    this.workers.tell({ t: 'tick' });
+    this.cloud.tell({ t: 'tick' });
+    this.tell({ t: 'round' });
+  }
+
+  /** Something changed that a round could use: no need to wait for the tick. */
+  private hurry(): void {
+    if (this.soon || this.stopped) return;
+    this.soon = true;
+    this.clock.after(200, () => {
+      this.soon = false;
+      this.tell({ t: 'round' });
+    });
+  }
+
+  private committed(no: RecordNo, record: LogRecord): void {
+    const touched = new Set<MachineId>();
+    const jobs: Job[] = [];
+    let hurry = false;
+    let cloud = false;
+    for (const e of record.entries) {
+      if (e.e === 'start' || e.e === 'stop' || e.e === 'withdraw') {
+        const job = this.state.jobs.get(e.job);
+        if (!job) continue;
+        jobs.push(job);
+        if (e.e === 'start') for (const p of e.p) touched.add(p[2]);
+        else for (const l of job.live.values()) touched.add(l.machine.id);
+      }
+      if (e.e === 'job' || e.e === 'up' || e.e === 'gone') hurry = true;
+      if (e.e === 'hire' || e.e === 'drop') cloud = true;
+    }
+    if (jobs.length > 0) this.outstanding.set(no, jobs);
+    if (touched.size > 0) this.workers.tell({ t: 'push', machines: touched });
+    if (cloud) this.cloud.tell({ t: 'tick' });
+    if (hurry) this.hurry();
+  }
+
+  /** The last record whose commands the workers' reports all show. */
+  private processedUpTo(): number {
+    for (const [no, jobs] of this.outstanding) {
+      const open = jobs.some((j) =>
+        [...j.live.values()].some(
+          (l) => !this.workers.shown(l) || (l.stop !== null && this.workers.startedAt(l) !== null),
+        ),
+      );
+      if (open) return no - 1;
+      this.outstanding.delete(no);
+    }
+    return this.state.next - 1;
+  }
+
+  protected receive(): void {
+    this.round();
+  }
+
+  private round(): void {
+    if (this.stopped || this.deciding || !this.lock.certain() || !this.workers.settled()) return;
+    const { state, ports } = this;
+    const now = this.clock.wall();
+    const usable = [...state.machines.values()].filter((m) => this.workers.usable(m));
+    const entries: Entry[] = this.evacuate();
+    const placed = place({
+      state,
+      teams: this.teams,
+      now,
+      random: ports.random,
+      sample: SAMPLE,
+      usable,
+      most: 400,
+    });
+    entries.push(...placed.entries);
+    const up = [...state.machines.values()].filter((m) => m.session > 0 && !m.drop);
+    const quiet = up.filter((m) => this.workers.silent(m) > 6).length;
+    // When most of them are silent at once, it is the way to them that is broken.
+    const deaf = up.length >= 3 && quiet * 2 > up.length;
+    const capacity: CapacityInput = {
+      state,
+      zones: ports.settings.cluster.zones,
+      now,
+      unplaced: placed.unplaced,
+      backoff: (t, z, s) => this.cloud.backoff(t, z, s),
+      nextName: () => `h-${this.term}-${++this.hires}`,
+      idle: () => 25,
+      silent: (m) => (deaf ? null : this.workers.silent(m)),
+      silenceMost: 11,
+      bootMost: (t) => Math.max(60, (t?.boot ?? 30) * 3.5),
+    };
+    entries.push(...rent(capacity), ...giveBack(capacity));
+    const upto = this.processedUpTo();
+    if (entries.length > 0 && upto > state.marked) entries.unshift({ e: 'mark', upto });
+    if (entries.length > 0) {
+      this.deciding = true;
+      let left = 0;
+      const parts: Entry[][] = [];
+      let size = 0;
+      for (const e of entries) {
+        const n = JSON.stringify(e).length;
+        if (parts.length === 0 || size + n > 6000) {
+          parts.push([]);
+          size = 0;
+        }
+        size += n;
+        parts[parts.length - 1]!.push(e);
+      }
+      left = parts.length;
+      for (const p of parts)
+        this.log.tell({
+          entries: p,
+          done: () => {
+            if (--left === 0) this.deciding = false;
+          },
+        });
+      ports.logger.debug(
+        {
+          starts: placed.starts,
+          unplaced: placed.unplaced.map((u) => [u.job.spec.id, u.tasks]),
+          usable: usable.length,
+        },
+        'round',
+      );
+    }
+    if (!this.folding && state.next - 1 - this.head.upto >= FOLD_EVERY) void this.fold();
+  }
+
+  /** A notice: what can save is stopped with time to save, gangs as a whole. */
+  private evacuate(): Entry[] {
+    const out: Entry[] = [];
+    const done = new Set<string>();
+    for (const m of this.state.machines.values()) {
+      if (m.drop || this.workers.notice(m) === null) continue;
+      for (const l of m.live) {
+        const s = l.job.spec;
+        if (l.stop || done.has(s.id) || s.checkpoint === 0) continue;
+        const tasks = s.gang
+          ? [...l.job.live.keys()]
+          : [...m.live].filter((x) => x.job === l.job && !x.stop).map((x) => x.task);
+        if (s.gang) done.add(s.id);
+        else for (const t of tasks) done.add(`${s.id}/${t}`);
+        if (!s.gang && tasks.every((t) => t !== l.task)) continue;
+        done.add(s.id);
+        out.push({ e: 'stop', job: s.id, p: tasks, grace: s.save + 1, why: 'notice' });
+      }
+    }
+    return out;
+  }
+
+  /** Folds the records so far into a packed snapshot, then removes them, within the write rate. */
+  private async fold(): Promise<void> {
+    this.folding = true;
+    const { store, settings, logger } = this.ports;
+    const limits = settings.cluster.state;
+    const upto = this.state.next - 1;
+    const old = this.head;
+    const packed = deflateSync(JSON.stringify(this.state.dump())).toString('base64');
+    const size = Math.floor(limits.value_kb * 1024 - 64);
+    const ops: Op[] = [];
+    for (let i = 0; i * size < packed.length; i++)
+      ops.push({ put: chunkKey(upto, i), value: packed.slice(i * size, (i + 1) * size) });
+    const chunks = ops.length;
+    const head: HeadValue = { upto, chunks };
+    const most = Math.max(
+      1,
+      Math.min(limits.txn_ops, Math.floor(limits.write_rps * 0.25), Math.floor(60 / limits.value_kb)),
+    );
+    const write = async (part: Op[]): Promise<boolean> => {
+      for (;;) {
+        if (this.stopped) return false;
+        if (this.lock.certain()) {
+          const r = await store.txn([{ key: LEADER, stamp: this.stamp }], part);
+          if (r.r === 'done') break;
+          if (r.r === 'failed') return false;
+        }
+        await sleep(this.clock, 500);
+      }
+      await sleep(this.clock, 1000);
+      return true;
+    };
+    const inParts = async (list: Op[], n: number): Promise<boolean> => {
+      for (let i = 0; i < list.length; i += n) if (!(await write(list.slice(i, i + n)))) return false;
+      return true;
+    };
+    if (!(await inParts(ops, most)) || !(await write([{ put: HEAD, value: head }]))) return;
+    this.head = head;
+    const rest: Op[] = [];
+    for (let n = old.upto + 1; n <= upto; n++) rest.push({ remove: recordKey(n) });
+    for (let i = 0; i < old.chunks; i++) rest.push({ remove: chunkKey(old.upto, i) });
+    await inParts(rest, Math.max(1, Math.min(limits.txn_ops, Math.floor(limits.write_rps * 0.25))));
+    this.folding = false;
+    logger.info({ upto, chunks, bytes: packed.length }, 'folded');
+  }
+
+  override stop(): void {
+    super.stop();
+    this.cancelTick?.();
+    this.log.stop();
+    this.admission.stop();
+    this.workers.stop();
+    this.cloud.stop();
+  }
+}
--- /dev/null
+++ b/src/actors/workers.ts
@@ -0,0 +1,275 @@
+import { attemptKey, commands, facts, type Seen } from '../core/recovery.js';
+import type { Job, Live, Machine, State } from '../core/state.js';
+import type { Cause, Command, Entry, JobId, MachineId, Steady, Term, WorkerReport } from '../core/types.js';
+import type { Clock } from '../io/clock.js';
+import type { HttpCall } from '../io/http-client.js';
+import type { Logger } from '../io/logger.js';
+import { readReport, writeDirect } from '../wire/schemas.js';
+import { Actor } from './actor.js';
+import type { LogActor } from './log.js';
+
+export type WorkerMessage =
+  | { t: 'report'; report: WorkerReport; reply: (orders: Command[] | null) => void }
+  /** A record was written: its commands may leave. */
+  | { t: 'push'; machines: Iterable<MachineId> }
+  | { t: 'tick' };
+
+interface Known extends Seen {
+  at: Steady;
+  /** A direct message is on its way. */
+  busy: boolean;
+  again: boolean;
+  /** This worker has seen our term, so nothing of an earlier one reaches it any more. */
+  ours: boolean;
+  started: Map<string, Steady>;
+}
+
+const DIRECT_MS = 2000;
+
+/** Hears the workers, and tells them what the log says. */
+export class WorkersActor extends Actor<WorkerMessage> {
+  private readonly known = new Map<MachineId, Known>();
+  /** Facts told to the log and not yet in a record. */
+  private readonly telling = new Set<string>();
+  private readonly since: Steady;
+
+  constructor(
+    private readonly state: State,
+    private readonly log: LogActor,
+    private readonly call: HttpCall,
+    private readonly clock: Clock,
+    private readonly term: Term,
+    private readonly reportS: number,
+    private readonly certain: () => boolean,
+    private readonly onFact: () => void,
+    private readonly onHigher: (term: Term) => void,
+    private readonly logger: Logger,
+  ) {
+    super();
+    this.since = clock.steady();
+  }
+
+  /** Every live worker has reported to us, or one report period has passed. */
+  settled(): boolean {
+    if (this.clock.steady() - this.since > this.reportS * 1250 + 500) return true;
+    for (const m of this.state.machines.values())
+      if (m.session > 0 && !m.drop && !this.known.get(m.id)?.ours) return false;
+    return true;
+  }
+
+  /** Seconds without a report; counted from the take-over at the earliest. */
+  silent(m: Machine): number {
+    return (this.clock.steady() - Math.max(this.known.get(m.id)?.at ?? -Infinity, this.since + 3000)) / 1000;
+  }
+
+  usable(m: Machine): boolean {
+    const k = this.known.get(m.id);
+    return (
+      m.session > 0 &&
+      !m.drop &&
+      m.errors < 2 &&
+      k !== undefined &&
+      k.report.session === m.session &&
+      k.report.notice === null &&
+      this.clock.steady() - k.at < this.reportS * 1250 + 2000
+    );
+  }
+
+  notice(m: Machine): number | null {
+    return this.known.get(m.id)?.report.notice ?? null;
+  }
+
+  /** Workers heard lately. */
+  heard(withinMs: number): number {
+    let n = 0;
+    for (const k of this.known.values()) if (this.clock.steady() - k.at < withinMs) n++;
+    return n;
+  }
+
+  running(job: Job): number {
+    let n = 0;
+    for (const l of job.live.values()) if (this.startedAt(l) !== null) n++;
+    return n;
+  }
+
+  /** When a task was first shown running to us; null while it is not. */
+  startedAt(l: Live): Steady | null {
+    return this.known.get(l.machine.id)?.started.get(attemptKey(l.job.spec.id, l.task, l.attempt)) ?? null;
+  }
+
+  /** Whether the worker has shown this attempt, or its stop, to be known to it. */
+  shown(l: Live): boolean {
+    const r = this.known.get(l.machine.id)?.report;
+    return (
+      r !== undefined &&
+      r.tasks.some((t) => t.job === l.job.spec.id && t.task === l.task && t.attempt === l.attempt)
+    );
+  }
+
+  protected receive(m: WorkerMessage): void {
+    if (m.t === 'report') m.reply(this.report(m.report));
+    else if (m.t === 'push') for (const id of m.machines) this.push(id);
+    else this.tick();
+  }
+
+  private take(r: WorkerReport, heard: boolean): Known | null {
+    if (r.term > this.term) {
+      this.onHigher(r.term);
+      return null;
+    }
+    let k = this.known.get(r.machine);
+    // Reports can be minutes late; an older one than the last says nothing new.
+    if (k && (r.session < k.report.session || (r.session === k.report.session && r.seq <= k.report.seq)))
+      return k;
+    if (!k || r.session > k.report.session) {
+      k = {
+        report: r,
+        at: k?.at ?? (-Infinity as Steady),
+        busy: k?.busy ?? false,
+        again: false,
+        ours: false,
+        unsure: new Set(),
+        sent: new Set(),
+        started: new Map(),
+      };
+      this.known.set(r.machine, k);
+    }
+    k.report = r;
+    if (heard) k.at = this.clock.steady();
+    if (r.term === this.term) k.ours = true;
+    const started = new Map<string, Steady>();
+    for (const t of r.tasks) {
+      if (t.state !== 'running' && t.state !== 'saving') continue;
+      const key = attemptKey(t.job, t.task, t.attempt);
+      started.set(key, k.started.get(key) ?? this.clock.steady());
+    }
+    k.started = started;
+    this.tellFacts(r);
+    return k;
+  }
+
+  private tellFacts(r: WorkerReport): void {
+    const { up, ends } = facts(this.state, r);
+    const entries: Entry[] = [];
+    const keys: string[] = [];
+    if (up) {
+      const key = `up ${r.machine} ${r.session}`;
+      if (!this.telling.has(key)) {
+        keys.push(key);
+        entries.push(up);
+      }
+    }
+    const news: [JobId, number, number, Cause, boolean][] = [];
+    for (const e of ends) {
+      const key = `end ${attemptKey(e[0], e[1], e[2])}`;
+      if (this.telling.has(key)) continue;
+      keys.push(key);
+      news.push(e);
+    }
+    if (news.length > 0) entries.push({ e: 'end', p: news });
+    if (entries.length === 0) return;
+    for (const k of keys) this.telling.add(k);
+    this.log.tell({
+      entries,
+      done: (ok) => {
+        for (const k of keys) this.telling.delete(k);
+        if (ok) this.onFact();
+      },
+    });
+  }
+
+  private report(r: WorkerReport): Command[] | null {
+    const k = this.take(r, true);
+    if (!k) return null;
+    // Without a certain lock nothing is commanded; the answer only keeps the worker's lease.
+    if (!this.certain() || k.report !== r) return [];
+    const { orders } = this.orders(k);
+    for (const o of orders) if (o.op === 'start') k.sent.add(attemptKey(o.job, o.task, o.attempt));
+    return orders;
+  }
+
+  private orders(k: Known): { orders: Command[] } {
+    const { orders, unsent } = commands(this.state, k, this.settled());
+    if (unsent.length > 0 && k.ours) this.tellVoid(unsent);
+    return { orders };
+  }
+
+  /** Starts that were logged and stopped before any launch left need no worker to end. */
+  private tellVoid(unsent: Live[]): void {
+    const news: [JobId, number, number, Cause, boolean][] = [];
+    for (const l of unsent) {
+      const key = `end ${attemptKey(l.job.spec.id, l.task, l.attempt)}`;
+      if (this.telling.has(key)) continue;
+      this.telling.add(key);
+      news.push([l.job.spec.id, l.task, l.attempt, 'void', false]);
+    }
+    if (news.length === 0) return;
+    this.log.tell({
+      entries: [{ e: 'end', p: news }],
+      done: () => {
+        for (const n of news) this.telling.delete(`end ${attemptKey(n[0], n[1], n[2])}`);
+      },
+    });
+  }
+
+  private push(id: MachineId): void {
+    const k = this.known.get(id);
+    const m = this.state.machines.get(id);
+    if (!m || m.drop || !m.addr || this.stopped) return;
+    if (!k) return;
+    if (k.busy) {
+      k.again = true;
+      return;
+    }
+    if (!this.certain()) return;
+    // Only the answer to a report forgets: a direct message may be executed late.
+    const orders = this.orders(k).orders.filter((o) => o.op !== 'forget');
+    if (orders.length > 0) this.direct(k, m, orders);
+  }
+
+  private direct(k: Known, m: Machine, orders: Command[]): void {
+    const session = k.report.session;
+    const starts = orders.filter((o) => o.op === 'start').map((o) => attemptKey(o.job, o.task, o.attempt));
+    for (const s of starts) {
+      k.sent.add(s);
+      k.unsure.add(s);
+    }
+    k.busy = true;
+    void this.call(m.addr, 'POST', '/orders', writeDirect(this.term, session, orders), DIRECT_MS).then(
+      (a) => {
+        if (this.stopped) return;
+        k.busy = false;
+        if (a && (a.status === 200 || a.status === 409)) {
+          for (const s of starts) k.unsure.delete(s);
+          const r = readReport(a.body);
+          if (r && r.machine === m.id) this.take(r, false);
+        }
+        if (k.again) {
+          k.again = false;
+          this.push(m.id);
+        }
+      },
+    );
+  }
+
+  private tick(): void {
+    for (const id of this.known.keys()) if (!this.state.machines.has(id)) this.known.delete(id);
+    // Workers still held by a former leader learn of the new term, and drop that one's answers.
+    const now = this.clock.steady();
+    if (now - this.since > 1500 && now - this.since < 12_000 && this.certain())
+      for (const m of this.state.machines.values()) {
+        if (m.session === 0 || m.drop || !m.addr || this.known.get(m.id)?.ours) continue;
+        if (this.introducing.has(m.id)) continue;
+        this.introducing.add(m.id);
+        void this.call(m.addr, 'POST', '/orders', writeDirect(this.term, m.session, []), DIRECT_MS).then(
+          (a) => {
+            if (this.stopped) return;
+            const r = a ? readReport(a.body) : null;
+            if (r && r.machine === m.id) this.take(r, false);
+            else this.logger.debug({ machine: m.id }, 'worker not reached');
+          },
+        );
+      }
+  }
+  private readonly introducing = new Set<MachineId>();
+}
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,81 @@
+import { randomInt, randomUUID } from 'node:crypto';
+import { readFileSync } from 'node:fs';
+import { Command } from 'commander';
+import pino from 'pino';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { Controller } from '../actors/controller.js';
+import type { NodeId } from '../core/types.js';
+import { realClock } from '../io/clock.js';
+import { httpCaller } from '../io/http-client.js';
+import { PeerLinks } from '../io/peers.js';
+import { server } from '../io/server.js';
+import { Cloud } from '../wire/cloud.js';
+import { readSettings, type Settings } from '../wire/settings.js';
+import { Store } from '../wire/store.js';
+
+const hostPort = (a: string): { host: string; port: number } => {
+  const cut = a.lastIndexOf(':');
+  return { host: a.slice(0, cut), port: Number(a.slice(cut + 1)) };
+};
+
+function load(file: string): Settings {
+  return readSettings(JSON.parse(readFileSync(file, 'utf8')));
+}
+
+function fail(e: unknown): never {
+  process.stderr.write(`quillhead: ${e instanceof Error ? e.message : String(e)}\n`);
+  process.exit(2);
+}
+
+async function serve(settings: Settings): Promise<void> {
+  const logger = pino(
+    { level: process.env.LOG_LEVEL ?? 'info', base: { node: settings.node } },
+    pino.destination({ dest: 2, sync: true }),
+  );
+  const rng = xoroshiro128plus(randomInt(0x7fffffff));
+  const call = httpCaller();
+  const controller = new Controller(
+    {
+      clock: realClock,
+      store: new Store(call, settings.external.state),
+      cloud: new Cloud(call, settings.external.cloud),
+      call,
+      random: { below: (n) => uniformInt(rng, 0, n - 1) },
+      logger,
+      settings,
+    },
+    randomUUID(),
+  );
+  const links = new PeerLinks(
+    hostPort(settings.back),
+    settings.seeds.map((p) => ({ node: p.node as NodeId, ...hostPort(p.peer_addr) })),
+    () => controller.status(),
+    { ask: (a) => controller.asked(a), status: (s) => controller.peerStatus(s) },
+    logger,
+  );
+  links.start();
+  const { host, port } = hostPort(settings.serve_on);
+  const http = server(controller, () => controller.status());
+  http.on('error', fail);
+  http.listen(port, host, 1024, () => logger.info({ on: settings.serve_on }, 'serving'));
+  await controller.start(links);
+}
+
+const program = new Command('quillhead')
+  .description('A cluster scheduler for small sites')
+  .version(process.env.QUILLHEAD_VERSION ?? 'dev');
+program
+  .command('serve', { isDefault: true })
+  .description('run one controller node')
+  .requiredOption('--config <file>', "the platform's settings (JSON)")
+  .action((o: { config: string }) => serve(load(o.config)).catch(fail));
+program
+  .command('check')
+  .description("check the platform's settings")
+  .requiredOption('--config <file>', "the platform's settings (JSON)")
+  .action((o: { config: string }) => {
+    load(o.config);
+    process.stdout.write('settings: ok\n');
+  });
+program.parseAsync().catch(fail);
--- /dev/null
+++ b/src/core/capacity.ts
@@ -0,0 +1,141 @@
+import { allowed, type PlacementResult } from './placement.js';
+import type { Machine, State } from './state.js';
+import { fitsType } from './state.js';
+import type { Entry, MachineId, MachineType, Wall } from './types.js';
+import { EPS } from './types.js';
+
+export interface CapacityInput {
+  state: State;
+  zones: readonly string[];
+  now: Wall;
+  unplaced: PlacementResult['unplaced'];
+  /** Until when no more is asked of a type, zone and kind that had none to give. */
+  backoff: (type: string, zone: string, spot: boolean) => boolean;
+  nextName: () => string;
+  idle: (m: Machine) => number;
+  /** Seconds without a report, or null while silence means nothing. */
+  silent: (m: Machine) => number | null;
+  silenceMost: number;
+  bootMost: (t: MachineType | undefined) => number;
+}
+
+interface Bin {
+  type: MachineType;
+  zone: string;
+  spot: boolean;
+  cpus: number;
+  gpus: number;
+  mem: number;
+  isNew: boolean;
+}
+
+const priceOf = (t: MachineType, spot: boolean): number => (spot ? t.spotPrice : t.price);
+
+/** What to rent for the tasks that found no room, machines on their way counted first. */
+export function rent(input: CapacityInput): Entry[] {
+  const { state, now } = input;
+  const bins: Bin[] = [];
+  const bin = (type: MachineType, zone: string, spot: boolean, isNew: boolean): Bin => {
+    const b = { type, zone, spot, cpus: type.cpus, gpus: type.gpus, mem: type.mem, isNew };
+    bins.push(b);
+    return b;
+  };
+  for (const m of state.machines.values()) {
+    const t = state.types.get(m.type);
+    if (t && m.session === 0 && !m.drop && now - m.hiredAt < t.boot * 3000) bin(t, m.zone, m.spot, false);
+  }
+  for (const h of state.hires.values()) {
+    const t = state.types.get(h.type);
+    if (t) for (let i = 0; i < h.n; i++) bin(t, h.zone, h.spot, false);
+  }
+  const zoneOf = new Map<string, string>();
+  for (const { job, tasks } of input.unplaced) {
+    const s = job.spec;
+    const types = [...state.types.values()].filter((t) => fitsType(s, t));
+    for (let left = tasks; left > 0;) {
+      const z = s.oneZone ? zoneOf.get(s.id) : undefined;
+      const fit = bins.find(
+        (b) =>
+          b.cpus + EPS >= s.cpus &&
+          b.gpus + EPS >= s.gpus &&
+          b.mem + EPS >= s.mem &&
+          allowed(job, { type: b.type.name, zone: b.zone, spot: b.spot }) &&
+          (z === undefined || b.zone === z),
+      );
+      let b = fit;
+      if (!b) {
+        let cost = Infinity;
+        let pick: { t: MachineType; zone: string; spot: boolean } | null = null;
+        for (const t of types)
+          for (const zone of t.zones) {
+            if (!input.zones.includes(zone) || (s.zone && zone !== s.zone) || (z !== undefined && zone !== z))
+              continue;
+            for (const spot of s.spot ? [true, false] : [false]) {
+              if (input.backoff(t.name, zone, spot)) continue;
+              const per = Math.max(
+                1,
+                Math.min(
+                  left,
+                  Math.floor((t.cpus + EPS) / Math.max(s.cpus, EPS)),
+                  Math.floor((t.mem + EPS) / Math.max(s.mem, EPS)),
+                ),
+              );
+              const c = (priceOf(t, spot) / per) * (1 + t.boot / 600);
+              if (c < cost) [cost, pick] = [c, { t, zone, spot }];
+            }
+          }
+        if (!pick) break;
+        b = bin(pick.t, pick.zone, pick.spot, true);
+      }
+      if (s.oneZone) zoneOf.set(s.id, b.zone);
+      const n = Math.max(
+        1,
+        Math.min(
+          left,
+          Math.floor((b.cpus + EPS) / Math.max(s.cpus, EPS)),
+          Math.floor((b.mem + EPS) / Math.max(s.mem, EPS)),
+        ),
+      );
+      b.cpus -= n * s.cpus;
+      b.gpus -= n * s.gpus;
+      b.mem -= n * s.mem;
+      left -= n;
+    }
+  }
+  const groups = new Map<string, { b: Bin; n: number }>();
+  for (const b of bins) {
+    if (!b.isNew) continue;
+    const k = `${b.type.name}|${b.zone}|${b.spot}`;
+    const g = groups.get(k) ?? { b, n: 0 };
+    g.n++;
+    groups.set(k, g);
+  }
+  return [...groups.values()].map(({ b, n }) => ({
+    e: 'hire',
+    name: input.nextName(),
+    type: b.type.name,
+    zone: b.zone,
+    spot: b.spot,
+    n: Math.min(n, 50),
+  }));
+}
+
+/** Machines to give back: silent, never up, set aside or idle for too long. */
+export function giveBack(input: CapacityInput): Entry[] {
+  const { state, now } = input;
+  const by = new Map<string, MachineId[]>();
+  const add = (why: string, m: Machine): void => void by.set(why, [...(by.get(why) ?? []), m.id]);
+  for (const m of state.machines.values()) {
+    if (m.drop) continue;
+    if (m.session === 0) {
+      if (now - m.hiredAt > input.bootMost(state.types.get(m.type)) * 1000) add('never up', m);
+      continue;
+    }
+    const silent = input.silent(m);
+    if (silent !== null && silent > input.silenceMost) add('silent', m);
+    else if (m.errors >= 2) add('faulty', m);
+    else if (m.live.size === 0 && now - m.hiredAt > 50_000 && now - m.idleSince > input.idle(m) * 1000)
+      add('idle', m);
+  }
+  return [...by].map(([why, m]) => ({ e: 'drop', m, why }));
+}
--- /dev/null
+++ b/src/core/state.ts
@@ -0,0 +1,436 @@
+import type {
+  Attempt,
+  Cause,
+  Entry,
+  JobId,
+  JobSpec,
+  LogRecord,
+  MachineId,
+  MachineType,
+  RecordNo,
+  Session,
+  Team,
+  Wall,
+} from './types.js';
+import { EPS } from './types.js';
+
+/** One start of one task: present on its machine from the logged decision to the logged end. */
+export interface Live {
+  job: Job;
+  task: number;
+  attempt: Attempt;
+  machine: Machine;
+  session: Session;
+  at: Wall;
+  stop: { grace: number; at: Wall; why: string } | null;
+}
+
+export interface Job {
+  spec: JobSpec;
+  at: Wall;
+  order: number;
+  withdrawn: boolean;
+  /** Tasks from here on were never started. */
+  fresh: number;
+  /** Tasks that were started and wait to be started again, with the next attempt's number. */
+  back: Map<number, number>;
+  live: Map<number, Live>;
+  done: number;
+  /** Gangs: the number of the next attempt, and whether the present one lost a task. */
+  gangTry: number;
+  broken: boolean;
+  errors: number;
+  errorMachines: Set<MachineId>;
+  notBefore: Wall;
+}
+
+export interface Machine {
+  id: MachineId;
+  addr: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  /** 0 until its worker has reported. */
+  session: Session;
+  hiredAt: Wall;
+  upAt: Wall;
+  drop: string | null;
+  errors: number;
+  live: Set<Live>;
+  /** Images that tasks were started with here, latest last. */
+  images: Map<string, number>;
+  idleSince: Wall;
+  cpus: number;
+  gpus: number;
+  mem: number;
+}
+
+export interface Hire {
+  name: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  n: number;
+  at: Wall;
+}
+
+export type Final = { s: 'done' | 'cancelled'; done: number };
+
+const num = (m: MachineId): number => Number(m.replace(/^\D+/, ''));
+
+/**
+ * What the log says. Only apply() changes it, on the leader, on followers and in replay alike;
+ * it uses nothing but the record, so that all of them come to the same state.
+ */
+export class State {
+  next = 1 as RecordNo;
+  marked = 0;
+  jobs = new Map<JobId, Job>();
+  finals = new Map<JobId, Final>();
+  machines = new Map<MachineId, Machine>();
+  hires = new Map<string, Hire>();
+  types = new Map<string, MachineType>();
+  teamUse = new Map<string, { cpus: number; gpus: number }>();
+  gone = new Set<MachineId>();
+  orders = 0;
+  /** Run times of finished tasks by class, for better guesses than the owners' estimates. */
+  hiresLogged = 0;
+
+  apply(no: RecordNo, rec: LogRecord): void {
+    if (no !== this.next) throw new Error(`record ${no} applied where ${this.next} is due`);
+    for (const e of rec.entries) this.entry(e, rec.at);
+    this.next = (no + 1) as RecordNo;
+  }
+
+  private entry(e: Entry, at: Wall): void {
+    switch (e.e) {
+      case 'job':
+        return this.addJob(e.spec, at);
+      case 'withdraw':
+        return this.withdraw(e.job, at);
+      case 'up':
+        return this.up(e, at);
+      case 'start':
+        for (const [task, attempt, m] of e.p) this.start(e.job, task, attempt as Attempt, m, at);
+        return;
+      case 'stop':
+        return this.stop(e, at);
+      case 'end':
+        for (const [job, task, attempt, cause, saved] of e.p)
+          this.end(job, task, attempt as Attempt, cause, saved, at);
+        return;
+      case 'hire':
+        this.hiresLogged++;
+        this.hires.set(e.name, { name: e.name, type: e.type, zone: e.zone, spot: e.spot, n: e.n, at });
+        return;
+      case 'hired': {
+        const h = this.hires.get(e.name);
+        if (!h) return;
+        this.hires.delete(e.name);
+        for (const m of e.m) if (!this.machines.has(m) && !this.gone.has(m)) this.machine(m, h, h.at);
+        return;
+      }
+      case 'drop':
+        for (const id of e.m) {
+          const m = this.machines.get(id);
+          if (m) m.drop ??= e.why;
+        }
+        return;
+      case 'gone':
+        for (const id of e.m) this.remove(id, at);
+        return;
+      case 'types':
+        this.types = new Map(e.types.map((t) => [t.name, t]));
+        return;
+      case 'mark':
+        this.marked = Math.max(this.marked, e.upto);
+        return;
+    }
+  }
+
+  private machine(
+    id: MachineId,
+    of: { type: string; zone: string; spot: boolean },
+    hiredAt: Wall,
+    addr = '',
+  ): Machine {
+    const m: Machine = {
+      id,
+      addr,
+      type: of.type,
+      zone: of.zone,
+      spot: of.spot,
+      session: 0 as Session,
+      hiredAt,
+      upAt: hiredAt,
+      drop: null,
+      errors: 0,
+      live: new Set(),
+      images: new Map(),
+      idleSince: hiredAt,
+      cpus: 0,
+      gpus: 0,
+      mem: 0,
+    };
+    this.machines.set(id, m);
+    return m;
+  }
+
+  private addJob(spec: JobSpec, at: Wall): void {
+    if (this.jobs.has(spec.id) || this.finals.has(spec.id)) return;
+    this.jobs.set(spec.id, {
+      spec,
+      at,
+      order: this.orders++,
+      withdrawn: false,
+      fresh: 0,
+      back: new Map(),
+      live: new Map(),
+      done: 0,
+      gangTry: 1,
+      broken: false,
+      errors: 0,
+      errorMachines: new Set(),
+      notBefore: 0 as Wall,
+    });
+  }
+
+  private withdraw(id: JobId, at: Wall): void {
+    const job = this.jobs.get(id);
+    // A job that is done stays done: went_back.
+    if (!job || this.finals.has(id)) return;
+    job.withdrawn = true;
+    // Guards ran_cancelled: what may be on a machine is stopped at once, without grace.
+    for (const l of job.live.values()) l.stop = { grace: 0, at, why: 'cancelled' };
+    this.finals.set(id, { s: 'cancelled', done: job.done });
+    this.tidy(job);
+  }
+
+  private up(e: Extract<Entry, { e: 'up' }>, at: Wall): void {
+    if (this.gone.has(e.m)) return;
+    const m = this.machines.get(e.m) ?? this.machine(e.m, e, at, e.addr);
+    if (e.s <= m.session) return;
+    if (m.session === 0) m.upAt = at;
+    m.addr = e.addr;
+    m.type = e.type;
+    m.zone = e.zone;
+    m.spot = e.spot;
+    m.session = e.s;
+    // A worker in a later session has killed all tasks of the earlier ones.
+    for (const l of [...m.live])
+      if (l.session < e.s) this.end(l.job.spec.id, l.task, l.attempt, 'lost', false, at);
+    m.images.clear();
+  }
+
+  /** Whether this start may be: decisions and replay ask the same question. */
+  startable(job: Job, task: number, attempt: number): boolean {
+    if (job.withdrawn || task >= job.spec.tasks || job.live.has(task)) return false;
+    // Guards ran_twice and not_done: a task starts only while nothing of it may be anywhere.
+    if (job.spec.gang) return attempt === job.gangTry && !job.broken;
+    const again = job.back.get(task);
+    return again === undefined ? task >= job.fresh && attempt === 1 : attempt === again;
+  }
+
+  private start(id: JobId, task: number, attempt: Attempt, mid: MachineId, at: Wall): void {
+    const job = this.jobs.get(id);
+    const m = this.machines.get(mid);
+    if (!job || !m || m.session === 0 || m.drop || !this.startable(job, task, attempt)) return;
+    const l: Live = { job, task, attempt, machine: m, session: m.session, at, stop: null };
+    job.live.set(task, l);
+    if (!job.spec.gang) {
+      if (!job.back.delete(task)) {
+        // Tasks skipped over stay startable.
+        for (let i = job.fresh; i < task; i++) job.back.set(i, 1);
+        job.fresh = task + 1;
+      }
+    }
+    m.live.add(l);
+    this.use(l, 1);
+    m.images.delete(job.spec.image);
+    m.images.set(job.spec.image, job.spec.imageGb);
+    if (m.images.size > 16) m.images.delete(m.images.keys().next().value!);
+  }
+
+  private use(l: Live, sign: 1 | -1): void {
+    const s = l.job.spec;
+    const t = this.teamUse.get(s.team) ?? { cpus: 0, gpus: 0 };
+    this.teamUse.set(s.team, t);
+    for (const x of [t, l.machine]) {
+      x.cpus += sign * s.cpus;
+      x.gpus += sign * s.gpus;
+    }
+    l.machine.mem += sign * s.mem;
+  }
+
+  private stop(e: Extract<Entry, { e: 'stop' }>, at: Wall): void {
+    const job = this.jobs.get(e.job);
+    if (!job) return;
+    for (const task of e.p) {
+      const l = job.live.get(task);
+      if (!l) continue;
+      if (!l.stop || l.stop.grace > e.grace) l.stop = { grace: e.grace, at, why: e.why };
+      if (job.spec.gang) job.broken = true;
+    }
+  }
+
+  private end(id: JobId, task: number, attempt: Attempt, cause: Cause, saved: boolean, at: Wall): void {
+    const job = this.jobs.get(id);
+    const l = job?.live.get(task);
+    if (!job || !l || l.attempt !== attempt) return;
+    job.live.delete(task);
+    const m = l.machine;
+    m.live.delete(l);
+    this.use(l, -1);
+    if (m.live.size === 0) {
+      m.idleSince = at;
+      m.cpus = m.gpus = m.mem = 0;
+    }
+    if (cause === 'done') {
+      m.errors = 0;
+      job.errors = 0;
+    }
+    if (cause === 'error') {
+      // A job that fails wherever it runs spoils no machine's name: only jobs that have not
+      // failed on other machines count against this one.
+      job.errors++;
+      job.errorMachines.add(m.id);
+      if (job.errorMachines.size <= 2) m.errors++;
+      job.notBefore = (at + Math.min(60_000, 1000 * 2 ** Math.min(job.errors, 6))) as Wall;
+    }
+    if (cause === 'no_room' || cause === 'busy' || cause === 'unknown')
+      job.notBefore = Math.max(job.notBefore, at + 2000) as Wall;
+    if (job.spec.gang) {
+      if (cause === 'done') job.done = job.spec.tasks;
+      else job.broken = true;
+      if (job.live.size === 0 && job.broken) {
+        job.gangTry++;
+        job.broken = false;
+      }
+    } else if (cause === 'done') job.done++;
+    else if (!job.withdrawn) job.back.set(task, attempt + 1);
+    // Guards not_done: done only when the end of every task is in a record.
+    if (!job.withdrawn && job.done >= job.spec.tasks && !this.finals.has(id))
+      this.finals.set(id, { s: 'done', done: job.done });
+    this.tidy(job);
+  }
+
+  private tidy(job: Job): void {
+    if (this.finals.has(job.spec.id) && job.live.size === 0) this.jobs.delete(job.spec.id);
+  }
+
+  private remove(id: MachineId, at: Wall): void {
+    const m = this.machines.get(id);
+    if (m) for (const l of [...m.live]) this.end(l.job.spec.id, l.task, l.attempt, 'lost', false, at);
+    this.machines.delete(id);
+    this.gone.add(id);
+    if (this.gone.size > 4000) {
+      const low = [...this.gone].sort((a, b) => num(a) - num(b)).slice(0, 2000);
+      for (const g of low) this.gone.delete(g);
+    }
+  }
+
+  /** Everything but the derived counts, ready for JSON. */
+  dump(): unknown {
+    return {
+      next: this.next,
+      marked: this.marked,
+      orders: this.orders,
+      hiresLogged: this.hiresLogged,
+      types: [...this.types.values()],
+      hires: [...this.hires.values()],
+      gone: [...this.gone],
+      finals: [...this.finals].map(([id, f]) => [id, f.s === 'done' ? 1 : 0, f.done]),
+      machines: [...this.machines.values()].map((m) => ({
+        ...m,
+        live: undefined,
+        cpus: undefined,
+        gpus: undefined,
+        mem: undefined,
+        images: [...m.images],
+      })),
+      jobs: [...this.jobs.values()].map((j) => ({
+        ...j,
+        back: [...j.back],
+        errorMachines: [...j.errorMachines],
+        live: [...j.live.values()].map((l) => [l.task, l.attempt, l.machine.id, l.session, l.at, l.stop]),
+      })),
+    };
+  }
+
+  static load(raw: unknown): State {
+    // eslint-disable-next-line @typescript-eslint/no-explicit-any -- our own dump, read back
+    const d = raw as any;
+    const s = new State();
+    s.next = d.next;
+    s.marked = d.marked;
+    s.orders = d.orders;
+    s.hiresLogged = d.hiresLogged;
+    s.types = new Map(d.types.map((t: MachineType) => [t.name, t]));
+    s.hires = new Map(d.hires.map((h: Hire) => [h.name, h]));
+    s.gone = new Set(d.gone);
+    s.finals = new Map(
+      d.finals.map(([id, f, done]: [JobId, number, number]) => [id, { s: f ? 'done' : 'cancelled', done }]),
+    );
+    for (const m of d.machines)
+      s.machines.set(m.id, { ...m, live: new Set(), cpus: 0, gpus: 0, mem: 0, images: new Map(m.images) });
+    for (const j of d.jobs) {
+      const job: Job = {
+        ...j,
+        back: new Map(j.back),
+        errorMachines: new Set(j.errorMachines),
+        live: new Map(),
+      };
+      s.jobs.set(job.spec.id, job);
+      for (const [task, attempt, mid, session, at, stop] of j.live) {
+        const l: Live = { job, task, attempt, machine: s.machines.get(mid)!, session, at, stop };
+        job.live.set(task, l);
+        l.machine.live.add(l);
+        s.use(l, 1);
+      }
+    }
+    return s;
+  }
+
+  /** Tasks of an array that may be started now, at most n. */
+  waiting(job: Job, n: number): [task: number, attempt: number][] {
+    const out: [number, number][] = [];
+    for (const [t, a] of job.back) {
+      if (out.length >= n) return out;
+      out.push([t, a]);
+    }
+    for (let t = job.fresh; t < job.spec.tasks && out.length < n; t++) out.push([t, 1]);
+    return out;
+  }
+
+  waitingCount(job: Job): number {
+    if (job.withdrawn || this.finals.has(job.spec.id)) return 0;
+    if (job.spec.gang) return job.live.size === 0 && !job.broken ? job.spec.tasks : 0;
+    return job.back.size + job.spec.tasks - job.fresh;
+  }
+}
+
+export function fitsType(spec: JobSpec, t: MachineType): boolean {
+  return (
+    (!spec.types || spec.types.includes(t.name)) &&
+    (!spec.zone || t.zones.includes(spec.zone)) &&
+    t.cpus + EPS >= spec.cpus &&
+    t.gpus + EPS >= spec.gpus &&
+    t.mem + EPS >= spec.mem
+  );
+}
+
+export type Refusal = { status: 422 | 503; reason: string };
+
+/** Why a job can never run, or can't be judged yet; null when it can be taken. */
+export function refuse(spec: JobSpec, teams: readonly Team[], types: Iterable<MachineType>): Refusal | null {
+  const team = teams.find((t) => t.name === spec.team);
+  if (!team) return { status: 422, reason: 'unknown team' };
+  const known = [...types];
+  if (known.length === 0) return { status: 503, reason: 'machine types not known yet' };
+  if (!known.some((t) => fitsType(spec, t)))
+    return { status: 422, reason: 'a task fits no allowed machine type' };
+  const n = spec.gang ? spec.tasks : 1;
+  if (spec.cpus * n > team.cpusMax + EPS || spec.gpus * n > team.gpusMax + EPS)
+    return { status: 422, reason: "the job needs more than the team's limit" };
+  return null;
+}
--- /dev/null
+++ b/src/io/clock.ts
@@ -0,0 +1,22 @@
+import type { Steady, Wall } from '../core/types.js';
+
+export type Cancel = () => void;
+
+/** Time as the actors know it; tests put a virtual one in its place. */
+export interface Clock {
+  steady(): Steady;
+  wall(): Wall;
+  after(ms: number, run: () => void): Cancel;
+}
+
+export const realClock: Clock = {
+  steady: () => (Number(process.hrtime.bigint() / 1000n) / 1000) as Steady,
+  wall: () => Date.now() as Wall,
+  after: (ms, run) => {
+    const t = setTimeout(run, ms);
+    return () => clearTimeout(t);
+  },
+};
+
+export const sleep = (clock: Clock, ms: number): Promise<void> =>
+  new Promise((done) => void clock.after(ms, done));
--- /dev/null
+++ b/src/io/http-client.ts
@@ -0,0 +1,66 @@
+import http from 'node:http';
+
+export interface HttpAnswer {
+  status: number;
+  body: unknown;
+}
+
+/** null: no answer; the request may or may not have been carried out, now or later. */
+export type HttpCall = (
+  address: string,
+  method: 'GET' | 'POST' | 'DELETE',
+  path: string,
+  body: unknown,
+  timeoutMs: number,
+) => Promise<HttpAnswer | null>;
+
+export function httpCaller(): HttpCall {
+  const agent = new http.Agent({ keepAlive: true, maxFreeSockets: 4, scheduling: 'lifo' });
+  return (address, method, path, body, timeoutMs) =>
+    new Promise((resolve) => {
+      const cut = address.lastIndexOf(':');
+      const text = body === undefined ? undefined : JSON.stringify(body);
+      let settled = false;
+      const settle = (a: HttpAnswer | null): void => {
+        if (settled) return;
+        settled = true;
+        clearTimeout(timer);
+        resolve(a);
+      };
+      const req = http.request(
+        {
+          agent,
+          host: address.slice(0, cut),
+          port: Number(address.slice(cut + 1)),
+          method,
+          path,
+          headers:
+            text === undefined
+              ? {}
+              : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) },
+        },
+        (res) => {
+          const parts: Buffer[] = [];
+          res.on('data', (d: Buffer) => parts.push(d));
+          res.on('error', () => settle(null));
+          res.on('aborted', () => settle(null));
+          res.on('end', () => {
+            const raw = Buffer.concat(parts).toString();
+            try {
+              settle({ status: res.statusCode ?? 0, body: raw ? JSON.parse(raw) : undefined });
+            } catch {
+              settle({ status: res.statusCode ?? 0, body: undefined });
+            }
+          });
+        },
+      );
+      // No connection is kept on trust: one that did not answer in time is not used again.
+      const timer = setTimeout(() => {
+        settle(null);
+        req.destroy();
+      }, timeoutMs);
+      req.on('error', () => settle(null));
+      req.setNoDelay(true);
+      req.end(text);
+    });
+}
--- /dev/null
+++ b/src/io/peers.ts
@@ -0,0 +1,226 @@
+import net from 'node:net';
+import { Root, type Message } from 'protobufjs/light.js';
+import type { NodeId } from '../core/types.js';
+import type { Logger } from './logger.js';
+
+/** What a node tells the others about itself, twice a second. */
+export interface PeerStatus {
+  node: string;
+  run: string;
+  term: number;
+  leading: boolean;
+  /** Workers whose reports reached this node lately. */
+  workers: number;
+  /** Milliseconds since the state service last answered this node. */
+  stateAge: number;
+}
+
+export interface PeerAsk {
+  kind: 'submit' | 'show' | 'withdraw';
+  job: string;
+  /** The job as this project knows it, in JSON; only for submissions. */
+  spec?: string;
+}
+
+export interface PeerAnswer {
+  status: number;
+  /** JSON */
+  body: string;
+  retryAfter: number;
+}
+
+export interface Peers {
+  ask(node: string, ask: PeerAsk): Promise<PeerAnswer | null>;
+  /** The last status of each peer and its age in milliseconds. */
+  statuses(): { status: PeerStatus; age: number }[];
+}
+
+const root = Root.fromJSON({
+  nested: {
+    Status: {
+      fields: {
+        node: { type: 'string', id: 1 },
+        run: { type: 'string', id: 2 },
+        term: { type: 'double', id: 3 },
+        leading: { type: 'bool', id: 4 },
+        workers: { type: 'uint32', id: 5 },
+        stateAge: { type: 'double', id: 6 },
+      },
+    },
+    Ask: {
+      fields: {
+        id: { type: 'uint32', id: 1 },
+        kind: { type: 'string', id: 2 },
+        job: { type: 'string', id: 3 },
+        spec: { type: 'string', id: 4 },
+      },
+    },
+    Answer: {
+      fields: {
+        id: { type: 'uint32', id: 1 },
+        status: { type: 'uint32', id: 2 },
+        body: { type: 'string', id: 3 },
+        retryAfter: { type: 'uint32', id: 4 },
+      },
+    },
+    Frame: {
+      oneofs: { what: { oneof: ['status', 'ask', 'answer'] } },
+      fields: {
+        status: { type: 'Status', id: 1 },
+        ask: { type: 'Ask', id: 2 },
+        answer: { type: 'Answer', id: 3 },
+      },
+    },
+  },
+});
+const Frame = root.lookupType('Frame');
+
+interface FrameValue {
+  status?: PeerStatus | null;
+  ask?: ({ id: number } & PeerAsk) | null;
+  answer?: ({ id: number } & PeerAnswer) | null;
+}
+
+const encode = (f: FrameValue): Buffer => {
+  const body = Frame.encode(Frame.fromObject(f)).finish();
+  const out = Buffer.allocUnsafe(4 + body.length);
+  out.writeUInt32BE(body.length, 0);
+  out.set(body, 4);
+  return out;
+};
+
+const MOST = 1 << 20;
+
+/** Cuts a stream into frames: four bytes of length, then the message. */
+function reader(onFrame: (f: FrameValue) => void, onBad: () => void): (d: Buffer) => void {
+  let held: Buffer = Buffer.alloc(0);
+  return (d) => {
+    held = held.length === 0 ? d : Buffer.concat([held, d]);
+    while (held.length >= 4) {
+      const n = held.readUInt32BE(0);
+      if (n > MOST) return onBad();
+      if (held.length < 4 + n) return;
+      let f: Message;
+      try {
+        f = Frame.decode(held.subarray(4, 4 + n));
+      } catch {
+        return onBad();
+      }
+      held = held.subarray(4 + n);
+      onFrame(f as unknown as FrameValue);
+    }
+  };
+}
+
+const ASK_MS = 1500;
+const SILENT_MS = 2500;
+
+export class PeerLinks implements Peers {
+  private readonly known = new Map<string, { status: PeerStatus; at: number }>();
+  private readonly open = new Map<string, net.Socket>();
+  private readonly waiting = new Map<number, (a: PeerAnswer | null) => void>();
+  private nextId = 1;
+
+  constructor(
+    private readonly listen: { host: string; port: number },
+    private readonly peers: { node: NodeId; host: string; port: number }[],
+    private readonly mine: () => PeerStatus,
+    private readonly on: {
+      ask: (a: PeerAsk) => Promise<PeerAnswer>;
+      status: (s: PeerStatus) => void;
+    },
+    private readonly log: Logger,
+  ) {}
+
+  start(): void {
+    const server = net.createServer((s) => {
+      s.setNoDelay(true);
+      s.setTimeout(10_000, () => s.destroy());
+      s.on('error', () => s.destroy());
+      s.on(
+        'data',
+        reader(
+          (f) => {
+            if (f.status) {
+              this.heard(f.status);
+              s.write(encode({ status: this.mine() }));
+            }
+            if (f.ask) {
+              const { id, ...ask } = f.ask;
+              void this.on.ask(ask).then((a) => {
+                if (!s.destroyed) s.write(encode({ answer: { id, ...a } }));
+              });
+            }
+          },
+          () => s.destroy(),
+        ),
+      );
+    });
+    server.on('error', (e) => this.log.error({ err: e.message }, 'peer listener'));
+    server.listen(this.listen.port, this.listen.host);
+    for (const p of this.peers) this.dial(p);
+  }
+
+  private heard(s: PeerStatus): void {
+    this.known.set(s.node, { status: s, at: performance.now() });
+    this.on.status(s);
+  }
+
+  private dial(p: { node: NodeId; host: string; port: number }): void {
+    const s = net.connect({ host: p.host, port: p.port, noDelay: true });
+    let last = performance.now();
+    const tick = setInterval(() => {
+      if (performance.now() - last > SILENT_MS) s.destroy();
+      else if (!s.connecting) s.write(encode({ status: this.mine() }));
+    }, 500);
+    s.on('connect', () => {
+      last = performance.now();
+      this.open.set(p.node, s);
+      s.write(encode({ status: this.mine() }));
+    });
+    s.on(
+      'data',
+      reader(
+        (f) => {
+          last = performance.now();
+          if (f.status) this.heard(f.status);
+          if (f.answer) {
+            const { id, ...a } = f.answer;
+            this.waiting.get(id)?.(a);
+          }
+        },
+        () => s.destroy(),
+      ),
+    );
+    s.on('error', () => s.destroy());
+    s.on('close', () => {
+      clearInterval(tick);
+      if (this.open.get(p.node) === s) this.open.delete(p.node);
+      setTimeout(() => this.dial(p), 500);
+    });
+  }
+
+  ask(node: string, ask: PeerAsk): Promise<PeerAnswer | null> {
+    const s = this.open.get(node);
+    if (!s) return Promise.resolve(null);
+    const id = this.nextId++ >>> 0;
+    return new Promise((resolve) => {
+      const end = (a: PeerAnswer | null): void => {
+        clearTimeout(timer);
+        this.waiting.delete(id);
+        s.off('close', closed);
+        resolve(a);
+      };
+      const closed = (): void => end(null);
+      const timer = setTimeout(() => end(null), ASK_MS);
+      this.waiting.set(id, end);
+      s.once('close', closed);
+      s.write(encode({ ask: { id, ...ask } }));
+    });
+  }
+
+  statuses(): { status: PeerStatus; age: number }[] {
+    const now = performance.now();
+    return [...this.known.values()].map((k) => ({ status: k.status, age: now - k.at }));
+  }
+}
--- /dev/null
+++ b/src/io/server.ts
@@ -0,0 +1,64 @@
+import express, { type NextFunction, type Request, type Response } from 'express';
+import http from 'node:http';
+import type { Controller } from '../actors/controller.js';
+import type { Reply } from '../actors/admission.js';
+import type { JobId } from '../core/types.js';
+import { jobIdForm, readJob, readReport, writeElsewhere, writeOrders } from '../wire/schemas.js';
+
+const send = (res: Response, r: Reply): void => {
+  if (r.retryAfter !== undefined) {
+    res.setHeader('Retry-After', String(r.retryAfter));
+    // A new connection lets the balancer choose a node that can.
+    res.setHeader('Connection', 'close');
+  }
+  json(res, r.status, r.body);
+};
+
+const json = (res: Response, status: number, body: object): void => {
+  const text = JSON.stringify(body);
+  res.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text) });
+  res.end(text);
+};
+
+/** The HTTP interface for users, workers and health checks. */
+export function server(c: Controller, metrics: () => object): http.Server {
+  const app = express();
+  app.disable('x-powered-by');
+  app.disable('etag');
+  const body = express.json({ limit: '64kb', type: () => true, strict: false });
+
+  app.post('/hello', body, (req, res) => {
+    const r = readReport(req.body);
+    if (!r) return json(res, 400, { error: 'malformed report' });
+    c.hello(r, (h) => {
+      if (h.answer === 'stay') json(res, 200, writeOrders(h.term, h.orders));
+      else json(res, 421, writeElsewhere(h.leader));
+    });
+  });
+  app.get('/v1/jobs/:id', (req, res) => {
+    const id = req.params.id;
+    if (!jobIdForm.test(id)) return json(res, 404, { error: 'no such job' });
+    void c.user({ kind: 'show', job: id as JobId }).then((r) => send(res, r));
+  });
+  app.get('/ready', (_req, res) => json(res, c.ready() ? 200 : 503, {}));
+  app.post('/v1/jobs', body, (req, res) => {
+    const j = readJob(req.body);
+    if ('error' in j) return json(res, 400, { error: j.error });
+    void c.user({ kind: 'submit', job: j.spec.id, spec: j.spec }).then((r) => send(res, r));
+  });
+  app.post('/v1/jobs/:id/withdraw', (req, res) => {
+    const id = req.params.id;
+    if (!jobIdForm.test(id)) return json(res, 404, { error: 'no such job' });
+    void c.user({ kind: 'withdraw', job: id as JobId }).then((r) => send(res, r));
+  });
+  app.get('/metrics', (_req, res) => json(res, 200, metrics()));
+  app.use((_req, res) => json(res, 404, { error: 'no such path' }));
+  app.use((e: { message?: string }, _req: Request, res: Response, next: NextFunction) => {
+    if (res.headersSent) return next(e);
+    json(res, 400, { error: e.message ?? 'malformed' });
+  });
+
+  const s = http.createServer({ keepAliveTimeout: 120_000, noDelay: true }, app);
+  s.requestTimeout = 15_000;
+  return s;
+}
--- /dev/null
+++ b/src/wire/schemas.ts
@@ -0,0 +1,294 @@
+// The protocols' words end here: inside there are only jobs, tasks, workers, terms and sessions.
+import { z } from 'zod';
+import type {
+  Attempt,
+  Cause,
+  Command,
+  JobId,
+  JobSpec,
+  MachineId,
+  MachineType,
+  Priority,
+  Session,
+  TaskReport,
+  TaskState,
+  Term,
+  WorkerReport,
+} from '../core/types.js';
+
+const amount = z.number().min(0);
+export const jobIdForm = /^wk-\d{1,19}$/;
+
+const submission = z.object({
+  name_id: z.string().regex(jobIdForm),
+  duty: z.string().min(1).max(200),
+  desk: z.string().max(200),
+  shape: z.enum(['array', 'ensemble']),
+  urgency: z.enum(['production', 'high', 'standard', 'low']),
+  shifts: z.number().int().min(1).max(100_000),
+  cpus: z.number().gt(0),
+  accelerators: amount.nullish(),
+  mem_gb: amount,
+  kit: z.string().max(500),
+  image_gb: amount,
+  breeds: z.array(z.string().max(100)).max(50).nullish(),
+  yard: z.string().max(100).nullish(),
+  together: z.boolean().nullish(),
+  spread: z.boolean().nullish(),
+  loaners: z.boolean().nullish(),
+  reckon_s: amount,
+  waymark_s: amount.nullish(),
+  stow_s: amount.nullish(),
+  due_s: amount.nullish(),
+});
+
+const priorityIn: Record<string, Priority> = {
+  production: 'production',
+  high: 'high',
+  standard: 'normal',
+  low: 'low',
+};
+
+export function readJob(body: unknown): { spec: JobSpec } | { error: string } {
+  const r = submission.safeParse(body);
+  if (!r.success) {
+    const i = r.error.issues[0];
+    return { error: `${i?.path.join('.') || 'body'}: ${i?.message ?? 'invalid'}` };
+  }
+  const b = r.data;
+  return {
+    spec: {
+      id: b.name_id as JobId,
+      class: b.duty,
+      team: b.desk,
+      gang: b.shape === 'ensemble',
+      priority: priorityIn[b.urgency]!,
+      tasks: b.shifts,
+      cpus: b.cpus,
+      gpus: b.accelerators ?? 0,
+      mem: b.mem_gb,
+      image: b.kit,
+      imageGb: b.image_gb,
+      types: b.breeds ?? null,
+      zone: b.yard ?? null,
+      oneZone: b.together ?? false,
+      spread: b.spread ?? false,
+      spot: b.loaners ?? false,
+      estimate: b.reckon_s,
+      checkpoint: b.waymark_s ?? 0,
+      save: b.stow_s ?? 0,
+      deadline: b.due_s ?? null,
+    },
+  };
+}
+
+export type Standing = 'queued' | 'running' | 'done' | 'cancelled';
+export const writeStanding = (
+  id: string,
+  s: Standing,
+  counts?: { done: number; running: number },
+): object => ({
+  name_id: id,
+  standing: s === 'cancelled' ? 'aborted' : s,
+  ...counts,
+});
+
+const stateIn: Record<string, TaskState> = {
+  fetching: 'fetching',
+  waiting: 'waiting',
+  running: 'running',
+  flushing: 'saving',
+  ended: 'exited',
+};
+const causeIn: Record<string, Cause> = {
+  done: 'done',
+  stopped: 'stopped',
+  peers: 'peers',
+  incomplete: 'alone',
+  error: 'error',
+  full: 'no_room',
+  in_use: 'busy',
+  no_such: 'unknown',
+};
+
+const report = z.object({
+  mount: z.string(),
+  addr: z.string(),
+  breed: z.string(),
+  yard: z.string(),
+  loaners: z.boolean().nullish(),
+  stint: z.number(),
+  tally: z.number(),
+  warrant: z.number(),
+  recall_s: z.number().nullish(),
+  shifts: z
+    .array(
+      z.object({
+        shift: z.string(),
+        try: z.number(),
+        standing: z.string(),
+        cause: z.string().nullish(),
+        stored: z.boolean().nullish(),
+      }),
+    )
+    .nullish(),
+});
+
+export function readReport(body: unknown): WorkerReport | null {
+  const r = report.safeParse(body);
+  if (!r.success) return null;
+  const b = r.data;
+  return {
+    machine: b.mount as MachineId,
+    addr: b.addr,
+    type: b.breed,
+    zone: b.yard,
+    spot: b.loaners ?? false,
+    session: b.stint as Session,
+    seq: b.tally,
+    term: b.warrant as Term,
+    notice: b.recall_s ?? null,
+    tasks: (b.shifts ?? []).map((t): TaskReport => {
+      const cut = t.shift.lastIndexOf('/');
+      return {
+        job: t.shift.slice(0, cut) as JobId,
+        task: Number(t.shift.slice(cut + 1)),
+        attempt: t.try as Attempt,
+        state: stateIn[t.standing] ?? 'running',
+        cause: t.cause ? (causeIn[t.cause] ?? 'stopped') : undefined,
+        saved: t.stored ?? false,
+      };
+    }),
+  };
+}
+
+const writeCommand = (c: Command): object => {
+  const shift = `${c.job}/${c.task}`;
+  if (c.op === 'start') return { verb: 'launch', shift, try: c.attempt };
+  if (c.op === 'stop') return { verb: 'halt', shift, try: c.attempt, leeway_s: c.grace };
+  return { verb: 'clear', shift, try: c.attempt };
+};
+
+export const writeOrders = (term: Term, orders: Command[]): object => ({
+  warrant: term,
+  orders: orders.map(writeCommand),
+});
+export const writeDirect = (term: Term, session: Session, orders: Command[]): object => ({
+  warrant: term,
+  stint: session,
+  orders: orders.map(writeCommand),
+});
+export const writeElsewhere = (leader: string | null): object => (leader ? { steward: leader } : {});
+
+const flavors = z.object({
+  breeds: z.array(
+    z.object({
+      sku: z.string(),
+      cpus: z.number(),
+      accelerators: z.number().nullish(),
+      mem_gb: z.number(),
+      local_gb: z.number().nullish(),
+      pull_gb_per_s: z.number().nullish(),
+      price: z.number(),
+      market_price: z.number().nullish(),
+      ready_s: z.number(),
+      yards: z.array(z.string()),
+    }),
+  ),
+});
+
+export function readTypes(body: unknown): MachineType[] {
+  return flavors.parse(body).breeds.map((b) => ({
+    name: b.sku,
+    cpus: b.cpus,
+    gpus: b.accelerators ?? 0,
+    mem: b.mem_gb,
+    cacheGb: b.local_gb ?? 100,
+    fetch: b.pull_gb_per_s ?? 0.1,
+    price: b.price,
+    spotPrice: b.market_price ?? b.price,
+    boot: b.ready_s,
+    zones: b.yards,
+  }));
+}
+
+export const writeHire = (h: {
+  name: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  n: number;
+}): object => ({
+  hire: h.name,
+  breed: h.type,
+  yard: h.zone,
+  loaners: h.spot,
+  count: h.n,
+});
+export const writeReturn = (m: readonly MachineId[]): object => ({ mounts: m });
+
+const names = z.object({ mounts: z.array(z.string()) });
+export const readHired = (body: unknown): MachineId[] => names.parse(body).mounts as MachineId[];
+
+const list = z.object({
+  mounts: z.array(
+    z.object({
+      name_id: z.string(),
+      addr: z.string().nullish(),
+      breed: z.string(),
+      yard: z.string(),
+      loaners: z.boolean().nullish(),
+      standing: z.string(),
+      held_s: z.number(),
+    }),
+  ),
+  truncated: z.boolean().nullish(),
+});
+export interface Listed {
+  id: MachineId;
+  type: string;
+  zone: string;
+  spot: boolean;
+  state: 'booting' | 'running' | 'failed';
+  age: number;
+}
+export function readList(body: unknown): { machines: Listed[]; more: boolean } {
+  const b = list.parse(body);
+  return {
+    more: b.truncated ?? false,
+    machines: b.mounts.map((m) => ({
+      id: m.name_id as MachineId,
+      type: m.breed,
+      zone: m.yard,
+      spot: m.loaners ?? false,
+      state: m.standing as Listed['state'],
+      age: m.held_s,
+    })),
+  };
+}
+
+// State service
+export const readTxn = z.object({ ledger: z.number(), failed: z.array(z.string()).nullish() });
+export const readKey = z.object({
+  key: z.string(),
+  data: z.unknown(),
+  stamp: z.number(),
+  tenure: z.number().nullish(),
+});
+export const readKeys = z.object({
+  items: z.array(z.object({ key: z.string(), data: z.unknown(), stamp: z.number() })),
+  truncated: z.boolean().nullish(),
+  ledger: z.number(),
+});
+export const readWatch = z.object({
+  ledger: z.number(),
+  news: z.array(
+    z.object({
+      write: z.string().nullish(),
+      remove: z.string().nullish(),
+      data: z.unknown(),
+      stamp: z.number(),
+    }),
+  ),
+});
+export const readLease = z.object({ tenure: z.number() });
--- /dev/null
+++ b/src/wire/settings.ts
@@ -0,0 +1,59 @@
+import { z } from 'zod';
+
+const hostPort = z.string().regex(/^[^:\s]+:\d+$/, 'must be host:port');
+const positive = z.number().gt(0);
+
+export const settingsSchema = z.object({
+  node: z.string().min(1),
+  area: z.string(),
+  serve_on: hostPort,
+  back: hostPort,
+  seeds: z.array(z.object({ node: z.string().min(1), area: z.string().nullish(), peer_addr: hostPort })),
+  external: z.object({ cloud: hostPort, state: hostPort }),
+  cluster: z.object({
+    zones: z.array(z.string()),
+    teams: z.array(
+      z.object({
+        name: z.string(),
+        cpus: z.number().min(0),
+        cpus_max: z.number().min(0),
+        gpus: z.number().min(0).default(0),
+        gpus_max: z.number().min(0).default(0),
+      }),
+    ),
+    objectives: z
+      .array(
+        z.object({
+          kind: z.string(),
+          class: z.string().nullish(),
+          within_s: z.number().nullish(),
+          share: z.number().nullish(),
+        }),
+      )
+      .default([]),
+    workers: z.object({
+      report_s: positive,
+      lease_s: positive,
+      gang_wait_s: positive,
+      gang_peer_s: positive,
+      cancel_s: positive,
+    }),
+    state: z.object({
+      rps: positive,
+      write_rps: positive,
+      value_kb: positive,
+      txn_ops: z.number().int().min(4),
+    }),
+    cloud: z.object({ rps: positive, list_lag_s: z.number().min(0) }),
+    time_bound_ms: z.number().min(0).default(1000),
+  }),
+});
+
+export type Settings = z.infer<typeof settingsSchema>;
+
+export function readSettings(raw: unknown): Settings {
+  const r = settingsSchema.safeParse(raw);
+  if (r.success) return r.data;
+  const i = r.error.issues[0];
+  throw new Error(`settings: ${i?.path.join('.') || 'file'}: ${i?.message ?? 'invalid'}`);
+}
--- /dev/null
+++ b/src/wire/store.ts
@@ -0,0 +1,129 @@
+import type { HttpCall } from '../io/http-client.js';
+import { readKeys, readKey, readLease, readTxn, readWatch } from './schemas.js';
+
+export type Stamp = number;
+export type LeaseId = number;
+export type Revision = number;
+
+export interface Item {
+  key: string;
+  value: unknown;
+  stamp: Stamp;
+}
+export interface Change {
+  key: string;
+  /** undefined: removed */
+  value: unknown;
+  removed: boolean;
+  stamp: Stamp;
+}
+export type Op = { put: string; value: unknown; lease?: LeaseId } | { remove: string };
+export interface Guard {
+  key: string;
+  stamp: Stamp;
+}
+
+export type TxnResult =
+  | { r: 'done'; revision: Revision }
+  | { r: 'failed'; keys: string[] }
+  /** The service said that it was not carried out. */
+  | { r: 'refused' }
+  | { r: 'no_lease' }
+  /** It may have been carried out, or may be later. */
+  | { r: 'unknown' };
+
+/** The state service, as the actors use it. */
+export class Store {
+  constructor(
+    private readonly call: HttpCall,
+    private readonly address: string,
+  ) {}
+
+  async txn(guards: Guard[], ops: Op[], timeoutMs = 1200): Promise<TxnResult> {
+    const body = {
+      guards,
+      apply: ops.map((o) =>
+        'put' in o
+          ? { write: o.put, data: o.value, ...(o.lease === undefined ? {} : { tenure: o.lease }) }
+          : { remove: o.remove },
+      ),
+    };
+    const a = await this.call(this.address, 'POST', '/txn', body, timeoutMs);
+    if (!a) return { r: 'unknown' };
+    if (a.status === 200 || a.status === 409) {
+      const t = readTxn.safeParse(a.body);
+      if (!t.success) return { r: 'unknown' };
+      return a.status === 200
+        ? { r: 'done', revision: t.data.ledger }
+        : { r: 'failed', keys: t.data.failed ?? [] };
+    }
+    if (a.status === 400) return { r: 'no_lease' };
+    return a.status === 429 || a.status === 503 ? { r: 'refused' } : { r: 'unknown' };
+  }
+
+  /** undefined: could not be read; null: no such key. */
+  async get(key: string): Promise<(Item & { lease: LeaseId | null }) | null | undefined> {
+    const a = await this.call(this.address, 'GET', `/kv/${key}`, undefined, 1200);
+    if (a?.status === 404) return null;
+    if (a?.status !== 200) return undefined;
+    const k = readKey.safeParse(a.body);
+    if (!k.success) return undefined;
+    return { key: k.data.key, value: k.data.data, stamp: k.data.stamp, lease: k.data.tenure ?? null };
+  }
+
+  async list(
+    prefix: string,
+    after: string | null,
+  ): Promise<{ items: Item[]; revision: Revision } | undefined> {
+    const items: Item[] = [];
+    let revision: Revision | null = null;
+    for (let from = after; ;) {
+      const q = `/kv?under=${encodeURIComponent(prefix)}${from === null ? '' : `&after=${encodeURIComponent(from)}`}&most=1000`;
+      const a = await this.call(this.address, 'GET', q, undefined, 3000);
+      if (a?.status !== 200) return undefined;
+      const k = readKeys.safeParse(a.body);
+      if (!k.success) return undefined;
+      revision ??= k.data.ledger;
+      for (const i of k.data.items) items.push({ key: i.key, value: i.data, stamp: i.stamp });
+      if (!k.data.truncated || k.data.items.length === 0) return { items, revision };
+      from = k.data.items[k.data.items.length - 1]!.key;
+    }
+  }
+
+  async watch(
+    prefix: string,
+    after: Revision,
+    waitMs: number,
+  ): Promise<{ revision: Revision; changes: Change[] } | 'too_old' | undefined> {
+    const q = `/watch?under=${encodeURIComponent(prefix)}&after=${after}&block_ms=${waitMs}`;
+    const a = await this.call(this.address, 'GET', q, undefined, waitMs + 3000);
+    if (a?.status === 410) return 'too_old';
+    if (a?.status !== 200) return undefined;
+    const w = readWatch.safeParse(a.body);
+    if (!w.success) return undefined;
+    return {
+      revision: w.data.ledger,
+      changes: w.data.news.map((n) => ({
+        key: n.write ?? n.remove ?? '',
+        value: n.data,
+        removed: n.write === undefined || n.write === null,
+        stamp: n.stamp,
+      })),
+    };
+  }
+
+  async lease(ttlMs: number): Promise<LeaseId | undefined> {
+    const a = await this.call(this.address, 'POST', '/leases', { life_ms: ttlMs }, 1200);
+    const l = a?.status === 200 ? readLease.safeParse(a.body) : undefined;
+    return l?.success ? l.data.tenure : undefined;
+  }
+
+  async renew(id: LeaseId): Promise<'ok' | 'ended' | 'unknown'> {
+    const a = await this.call(this.address, 'POST', `/leases/${id}/touch`, {}, 1200);
+    return a?.status === 200 ? 'ok' : a?.status === 404 ? 'ended' : 'unknown';
+  }
+
+  async endLease(id: LeaseId): Promise<void> {
+    await this.call(this.address, 'DELETE', `/leases/${id}`, undefined, 1200);
+  }
+}
