--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -56,7 +56,7 @@
   );
   links.start();
   const { host, port } = hostPort(settings.serve_on);
-  const http = server(controller, () => controller.status());
+  const http = server(controller, () => controller.status(), logger);
   http.on('error', fail);
   http.listen(port, host, 1024, () => logger.info({ on: settings.serve_on }, 'serving'));
   await controller.start(links);
--- a/src/wire/schemas.ts
+++ b/src/wire/schemas.ts
@@ -23,7 +23,8 @@
   name_id: z.string().regex(jobIdForm),
   duty: z.string().min(1).max(200),
   desk: z.string().max(200),
-  shape: z.enum(['array', 'ensemble']),
+  // `service` stands on no page; the operators' own check submits it (docs/questions.md, 1).
+  shape: z.enum(['array', 'ensemble', 'service']),
   urgency: z.enum(['production', 'high', 'standard', 'low']),
   shifts: z.number().int().min(1).max(100_000),
   cpus: z.number().gt(0),
