--- a/src/actors/controller.ts
+++ b/src/actors/controller.ts
@@ -20,6 +20,7 @@
   private leader: LeaderValue | null = null;
   private highest = 0;
   private peers: Peers | null = null;
+  private contending = false;
   private leaderSeen = -Infinity;
 
   constructor(
@@ -43,6 +44,15 @@
     this.peers = peers;
     await this.buryFormerSelf();
     void this.follower.run();
+    this.watchdog();
+  }
+
+  /** A leader that no longer tells its peers that it leads is looked for in the state service. */
+  private watchdog(): void {
+    const { clock } = this.ports;
+    clock.after(700, () => this.watchdog());
+    if (this.leading || clock.steady() - this.leaderSeen < 1500) return;
+    void this.follower.checkLeader().then((free) => (free ? this.contend() : undefined));
   }
 
   /** A lock still held by an earlier run of this node holds nobody: that run is over. */
@@ -55,10 +65,23 @@
   }
 
   private async contend(): Promise<void> {
+    if (this.contending || this.lock.holding) return;
+    this.contending = true;
+    try {
+      await this.takeOver();
+    } finally {
+      this.contending = false;
+    }
+  }
+
+  private async takeOver(): Promise<void> {
     const { clock, random, logger } = this.ports;
     await sleep(clock, random.below(60));
     const held = await this.lock.contend();
-    if (!held) return;
+    if (!held) {
+      logger.debug('the lock was not to be had');
+      return;
+    }
     this.highest = Math.max(this.highest, held.term);
     this.follower.pause();
     for (;;) {
--- a/src/actors/follower.ts
+++ b/src/actors/follower.ts
@@ -83,6 +83,20 @@
     }
   }
 
+  /**
+   * Guards against a watch that has not told of the lock's end: asks for the key itself. True when
+   * the lock is free.
+   */
+  async checkLeader(): Promise<boolean> {
+    if (!this.loaded || this.paused) return false;
+    const k = await this.store.get(LEADER);
+    if (k === undefined || this.paused) return false;
+    this.lastAnswer = this.clock.steady();
+    const v = k === null ? null : (k.value as LeaderValue);
+    if (v?.run !== this.leader?.run || v?.term !== this.leader?.term) this.setLeader(v);
+    return v === null;
+  }
+
   private setLeader(v: LeaderValue | null): void {
     this.leader = v;
     this.on.leader(v);
--- /dev/null
+++ b/test/fakes/checker.ts
@@ -0,0 +1,148 @@
+import type { MachineType, Team } from '../../src/core/types.js';
+
+export interface JobOnWire {
+  name_id: string;
+  duty: string;
+  desk: string;
+  shape: 'array' | 'ensemble';
+  urgency: string;
+  shifts: number;
+  cpus: number;
+  accelerators: number;
+  mem_gb: number;
+  kit: string;
+  image_gb: number;
+  breeds: string[] | null;
+  yard: string | null;
+  together: boolean;
+  spread: boolean;
+  loaners: boolean;
+  reckon_s: number;
+  waymark_s: number;
+  stow_s: number;
+  due_s: number | null;
+}
+
+export interface Place {
+  id: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+}
+
+type Told = 'accepted' | 'done' | 'aborted';
+
+/** Sees what the workers do and what the users are told, and names each broken rule. */
+export class Checker {
+  readonly broken: string[] = [];
+  starts = 0;
+  private readonly jobs = new Map<string, JobOnWire>();
+  private readonly told = new Map<string, Told>();
+  private readonly asked = new Set<string>();
+  private readonly cancelled = new Map<string, number>();
+  private readonly done = new Map<string, Set<number>>();
+  /** job/task -> machines that hold it */
+  private readonly present = new Map<string, Map<string, Place>>();
+
+  constructor(
+    private readonly now: () => number,
+    private readonly teams: readonly Team[],
+    readonly types: readonly MachineType[],
+    private readonly cancelMs: number,
+  ) {}
+
+  private say(rule: string, what: string): void {
+    this.broken.push(`${rule}: ${what} at ${(this.now() / 1000).toFixed(1)} s`);
+  }
+
+  submitted(j: JobOnWire): void {
+    this.jobs.set(j.name_id, j);
+  }
+  job(id: string): JobOnWire | undefined {
+    return this.jobs.get(id);
+  }
+  willWithdraw(id: string): void {
+    this.asked.add(id);
+  }
+
+  start(id: string, task: number, m: Place): void {
+    this.starts++;
+    const key = `${id}/${task}`;
+    const at = this.present.get(key) ?? new Map<string, Place>();
+    this.present.set(key, at);
+    if ([...at.keys()].some((x) => x !== m.id))
+      this.say('ran_twice', `${key} on ${m.id} and ${[...at.keys()].join()}`);
+    at.set(m.id, m);
+    const j = this.jobs.get(id);
+    if (!j) return this.say('invented', `${key} runs and nobody submitted it`);
+    const bad =
+      (j.breeds && !j.breeds.includes(m.type)) || (j.yard && j.yard !== m.zone) || (!j.loaners && m.spot);
+    const zones = new Map<string, number>();
+    for (const [k, ms] of this.present)
+      if (k.startsWith(`${id}/`))
+        for (const p of ms.values()) zones.set(p.zone, (zones.get(p.zone) ?? 0) + 1);
+    const apart = j.together && zones.size > 1;
+    const crowded = j.spread && Math.max(...zones.values()) > Math.ceil(j.shifts / 2);
+    if (bad || apart || crowded) this.say('wrong_place', `${key} on ${m.id}`);
+    const team = this.teams.find((t) => t.name === j.desk);
+    let use = 0;
+    for (const [k, ms] of this.present) {
+      const o = this.jobs.get(k.slice(0, k.lastIndexOf('/')));
+      if (o?.desk === j.desk) use += o.cpus * ms.size;
+    }
+    if (team && use > team.cpusMax + 1e-6) this.say('quota', `${j.desk} uses ${use}`);
+    this.checkCancelled(key, id);
+  }
+
+  private checkCancelled(key: string, id: string): void {
+    const c = this.cancelled.get(id);
+    if (c !== undefined && this.now() > c + this.cancelMs) this.say('ran_cancelled', key);
+  }
+
+  end(id: string, task: number, m: Place, done: boolean): void {
+    const key = `${id}/${task}`;
+    this.checkCancelled(key, id);
+    this.present.get(key)?.delete(m.id);
+    if (!done) return;
+    const d = this.done.get(id) ?? new Set<number>();
+    this.done.set(id, d.add(task));
+  }
+
+  /** An answer to a poll, a submission or a withdrawal. */
+  answer(kind: 'submit' | 'show' | 'withdraw', id: string, status: number, standing?: string): void {
+    const before = this.told.get(id);
+    if (status === 404 && kind === 'show' && before) this.say('forgotten', `${id} gets 404`);
+    if ((status === 400 || status === 422) && kind === 'submit' && before)
+      this.say('forgotten', `${id} gets ${status}`);
+    if (status !== 200 && status !== 201) return;
+    if (!this.jobs.has(id)) return this.say('invented', id);
+    if (standing === 'done') {
+      if ((this.done.get(id)?.size ?? 0) < this.jobs.get(id)!.shifts) this.say('not_done', id);
+      if (before === 'aborted') this.say('went_back', `${id} from aborted to done`);
+      this.told.set(id, 'done');
+    } else if (standing === 'aborted') {
+      if (before === 'done') this.say('went_back', `${id} from done to aborted`);
+      if (!this.asked.has(id)) this.say('went_back', `${id} was not cancelled by its user`);
+      this.told.set(id, 'aborted');
+      if (kind === 'withdraw' && !this.cancelled.has(id)) this.cancelled.set(id, this.now());
+    } else {
+      if (before === 'done' || before === 'aborted')
+        this.say('went_back', `${id} from ${before} to ${standing}`);
+      this.told.set(id, before ?? 'accepted');
+    }
+  }
+
+  /** At the end of a story: what is still on machines that should not be. */
+  finish(): void {
+    for (const [key, ms] of this.present)
+      if (ms.size > 0) this.checkCancelled(key, key.slice(0, key.lastIndexOf('/')));
+    if (this.starts === 0) this.say('nothing_ran', 'no task was started');
+  }
+
+  accepted(): string[] {
+    return [...this.told.keys()];
+  }
+  standing(id: string): Told | undefined {
+    return this.told.get(id);
+  }
+}
--- /dev/null
+++ b/test/fakes/network.ts
@@ -0,0 +1,75 @@
+import type { HttpAnswer, HttpCall } from '../../src/io/http-client.js';
+import type { VirtualTime } from './clock.js';
+
+export type Handler = (
+  method: string,
+  path: string,
+  body: unknown,
+) => HttpAnswer | Promise<HttpAnswer> | null;
+
+/** Carries requests between hosts; cuts drop them or hold them until the cut is over. */
+export class FakeNetwork {
+  private readonly hosts = new Map<string, Handler>();
+  private readonly cuts: { a: string; b: string; hold: boolean; until: number }[] = [];
+  constructor(
+    readonly time: VirtualTime,
+    private readonly random: () => number,
+  ) {}
+
+  listen(address: string, h: Handler): void {
+    this.hosts.set(address, h);
+  }
+  close(address: string): void {
+    this.hosts.delete(address);
+  }
+
+  /** '*' stands for every host. */
+  cut(a: string, b: string, ms: number, hold = false): void {
+    this.cuts.push({ a, b, hold, until: this.time.now + ms });
+  }
+
+  private cutBetween(x: string, y: string): { hold: boolean; until: number } | undefined {
+    const is = (p: string, q: string): boolean => p === '*' || p === q;
+    return this.cuts.find(
+      (c) => c.until > this.time.now && ((is(c.a, x) && is(c.b, y)) || (is(c.a, y) && is(c.b, x))),
+    );
+  }
+
+  delay(): number {
+    return 1 + this.random() * 4;
+  }
+
+  caller(from: string, alive: () => boolean): HttpCall {
+    return (address, method, path, body, timeoutMs) =>
+      new Promise((resolve) => {
+        let open = true;
+        const end = (a: HttpAnswer | null): void => {
+          if (!open || !alive()) return;
+          open = false;
+          resolve(a);
+        };
+        this.time.after(timeoutMs, () => end(null));
+        const text = body === undefined ? undefined : JSON.stringify(body);
+        const arrive = (): void => {
+          const cut = this.cutBetween(from, address);
+          if (cut) {
+            if (cut.hold) this.time.after(cut.until - this.time.now + 1, arrive);
+            return;
+          }
+          const h = this.hosts.get(address);
+          if (!h) return void this.time.after(this.delay(), () => end(null));
+          void Promise.resolve(h(method, path, text === undefined ? undefined : JSON.parse(text))).then(
+            (a) => {
+              if (!a) return;
+              const back = JSON.stringify(a.body);
+              this.time.after(this.delay(), () => {
+                if (this.cutBetween(from, address)) return;
+                end({ status: a.status, body: back === undefined ? undefined : JSON.parse(back) });
+              });
+            },
+          );
+        };
+        this.time.after(this.delay(), arrive);
+      });
+  }
+}
--- /dev/null
+++ b/test/stories.test.ts
@@ -0,0 +1,196 @@
+import { describe, expect, it } from 'vitest';
+import { World } from './fakes/world.js';
+
+const over = async (w: World, mostS: number): Promise<void> => {
+  const all = await w.time.until(() => w.allOver(), mostS * 1000);
+  w.checker.finish();
+  expect(w.checker.broken).toEqual([]);
+  expect(all, 'all jobs are over').toBe(true);
+};
+
+describe('a quiet day', () => {
+  it('runs arrays and gangs, cancels one, and gives the machines back', async () => {
+    const w = new World(1);
+    await w.started();
+    w.user(w.job({ shifts: 10 }));
+    w.user(w.job({ shape: 'ensemble', shifts: 3, cpus: 6, together: true, urgency: 'high' }));
+    w.user(w.job({ desk: 'blue', shifts: 40, spread: true, reckon_s: 5 }));
+    w.user(w.job({ reckon_s: 500 }), 30_000);
+    await over(w, 200);
+    expect(w.checker.standing('wk-000004')).toBe('aborted');
+    expect(w.checker.standing('wk-000002')).toBe('done');
+    await w.time.run(150_000);
+    expect(w.cloud.machines.size).toBe(0);
+    expect(w.state.over).toBe(0);
+  });
+
+  it('refuses what can never run, and takes the same job once', async () => {
+    const w = new World(2);
+    await w.started();
+    const big = w.job({ cpus: 9 });
+    const strange = w.job({ desk: 'nobody' });
+    const gang = w.job({ shape: 'ensemble', shifts: 20, cpus: 4 });
+    for (const j of [big, strange, gang])
+      expect((await settle(w, w.ask('submit', j.name_id, j))).status).toBe(422);
+    const j = w.job();
+    w.checker.submitted(j);
+    expect((await settle(w, w.ask('submit', j.name_id, j))).status).toBe(201);
+    expect((await settle(w, w.ask('submit', j.name_id, j))).status).toBe(200);
+    expect((await settle(w, w.ask('show', 'wk-999999'))).status).toBe(404);
+  });
+});
+
+async function settle<T>(w: World, p: Promise<T>): Promise<T> {
+  let out: { v: T } | null = null;
+  void p.then((v) => (out = { v }));
+  await w.time.until(() => out !== null, 10_000);
+  return out!.v;
+}
+
+describe('controllers fail', () => {
+  it('another leads after a crash, and nothing runs twice', async () => {
+    const w = new World(3);
+    await w.started();
+    w.user(w.job({ shifts: 20, reckon_s: 20 }));
+    w.user(w.job({ shape: 'ensemble', shifts: 2, cpus: 6 }));
+    await w.time.run(18_000);
+    const was = w.leader();
+    w.crash(was, 6000);
+    await w.time.run(4500);
+    expect(w.leader()).not.toBe(was);
+    expect(w.leader()).toBeGreaterThanOrEqual(0);
+    await over(w, 200);
+  });
+
+  it('another leads after a crash even when no watch tells that the lock is free', async () => {
+    const w = new World(9);
+    w.state.muteLeases = true;
+    await w.started();
+    const was = w.leader();
+    w.crash(was, 60_000);
+    await w.time.run(6000);
+    expect(w.leader()).toBeGreaterThanOrEqual(0);
+  });
+
+  it('all crash at once, one of them back within a fraction of a second', async () => {
+    const w = new World(4);
+    await w.started();
+    w.user(w.job({ shifts: 20, reckon_s: 20 }));
+    w.user(w.job({ shifts: 4, reckon_s: 300 }), 40_000);
+    await w.time.run(20_000);
+    w.crash(0, 300);
+    w.crash(1, 6000);
+    w.crash(2, 6000);
+    await over(w, 300);
+  });
+
+  it('keeps leases alive through an outage of the state service', async () => {
+    const w = new World(5);
+    await w.started();
+    w.user(w.job({ shifts: 8, reckon_s: 60 }));
+    await w.time.run(30_000);
+    const sessions = [...w.workers.values()].map((x) => x.session);
+    w.state.outage(30_000);
+    await w.time.run(10_000);
+    const j = w.job();
+    w.checker.submitted(j);
+    const r = await settle(w, w.ask('submit', j.name_id, j));
+    expect(r.status).toBe(503);
+    expect(r.retryAfter).toBeGreaterThan(0);
+    await w.time.run(21_000);
+    expect([...w.workers.values()].map((x) => x.session)).toEqual(sessions);
+    await over(w, 200);
+  });
+
+  it('a leader that alone is refused by the state service gives way', async () => {
+    const w = new World(6);
+    await w.started();
+    w.user(w.job({ shifts: 12, reckon_s: 30 }));
+    await w.time.run(20_000);
+    const was = w.leader();
+    w.state.refusedTo.add(`n${was}`);
+    await w.time.run(6000);
+    expect(w.leader()).not.toBe(was);
+    expect(w.leader()).toBeGreaterThanOrEqual(0);
+    w.time.after(20_000, () => w.state.refusedTo.clear());
+    await over(w, 200);
+  });
+});
+
+describe('machines fail', () => {
+  it('restarts what was on machines that died, vanished or turned faulty', async () => {
+    const w = new World(7);
+    await w.started();
+    w.user(w.job({ shifts: 16, reckon_s: 40 }));
+    w.user(w.job({ shape: 'ensemble', shifts: 2, cpus: 5, reckon_s: 40 }));
+    await w.time.run(25_000);
+    const ids = [...w.workers.keys()];
+    w.cloud.lose(ids[0]!, 'failed');
+    w.cloud.lose(ids[1]!, 'missing');
+    w.workers.get(ids[2]!)!.faulty = true;
+    await over(w, 300);
+  });
+
+  it('a cut machine whose commands arrive late breaks no rule', async () => {
+    const w = new World(8);
+    await w.started();
+    w.user(w.job({ shifts: 16, reckon_s: 25 }));
+    await w.time.run(14_000);
+    const [one, two] = [...w.workers.keys()];
+    w.network.cut(one!, '*', 25_000, true);
+    w.network.cut(`${two}:9000`, '*', 20_000, true);
+    w.user(w.job({ shifts: 16, reckon_s: 10 }));
+    await over(w, 300);
+  });
+});
+
+describe('overlapping troubles', () => {
+  for (let seed = 100; seed < 112; seed++)
+    it(`mix ${seed}`, async () => {
+      const w = new World(seed);
+      w.cloud.neverUp = 0.1;
+      await w.started();
+      for (let i = 0; i < 14; i++)
+        w.time.after(w.random() * 100_000, () => {
+          const gang = w.random() < 0.35;
+          const job = w.job({
+            shape: gang ? 'ensemble' : 'array',
+            desk: w.random() < 0.5 ? 'red' : 'blue',
+            urgency: gang ? 'high' : 'low',
+            shifts: 1 + Math.floor(w.random() * (gang ? 3 : 15)),
+            cpus: gang ? 5 : 1 + Math.floor(w.random() * 3),
+            together: w.random() < 0.3,
+            spread: !gang && w.random() < 0.3,
+            loaners: w.random() < 0.7,
+            waymark_s: w.random() < 0.5 ? 10 : 0,
+            stow_s: 2,
+            reckon_s: 5 + w.random() * 40,
+            kit: `img-${Math.floor(w.random() * 3)}`,
+          });
+          if (job.together) job.spread = false;
+          w.user(job, w.random() < 0.2 ? w.random() * 60_000 : null);
+        });
+      const any = <T>(l: T[]): T | undefined => l[Math.floor(w.random() * l.length)];
+      for (let i = 0; i < 9; i++)
+        w.time.after(10_000 + w.random() * 110_000, () => {
+          const kind = Math.floor(w.random() * 9);
+          const node = Math.floor(w.random() * 3);
+          const m = any([...w.workers.keys()]);
+          if (kind === 0 && !w.nodes[node]!.clock.dead) w.crash(node, w.random() < 0.3 ? 200 : 5000);
+          if (kind === 1) for (let n = 0; n < 3; n++) if (!w.nodes[n]!.clock.dead) w.crash(n, 3000 + n * 500);
+          if (kind === 2) w.state.outage(4000 + w.random() * 16_000);
+          if (kind === 3) w.network.cut(`n${node}`, `state-for-n${node}:1`, 15_000, w.random() < 0.5);
+          if (kind === 4) {
+            w.network.cut(`n${node}`, '*', 15_000, w.random() < 0.5);
+            w.network.cut(`n${node}:80`, '*', 15_000, w.random() < 0.5);
+            w.network.cut(`n${node}:81`, '*', 15_000);
+          }
+          if (kind === 5 && m) w.network.cut(m, '*', 20_000, true);
+          if (kind === 6 && m) w.network.cut(`${m}:9000`, '*', 20_000, true);
+          if (kind === 7 && m) w.cloud.lose(m, w.random() < 0.5 ? 'failed' : 'missing');
+          if (kind === 8) w.cloud.outage(15_000);
+        });
+      await w.time.run(130_000);
+      await over(w, 400);
+    });
+});
