Read removals in watch answers; followers no longer stand still after one

Cause: the schema asked for a value in every change, so an answer with a removal was thrown away whole and asked for again for ever. Take-overs came only when a node restarted. Excluded: the lock, the lease.

--- a/src/actors/controller.ts
+++ b/src/actors/controller.ts
@@ -119,6 +119,11 @@
     if (this.lock.holding && term > this.lock.holding.term) this.lock.release(`term ${term} seen`);
   }
 
+  /** The number of the next record, as far as this node knows. */
+  get position(): number {
+    return this.follower.state.next;
+  }
+
   status(): PeerStatus {
     const { clock, settings } = this.ports;
     return {
--- a/src/wire/schemas.ts
+++ b/src/wire/schemas.ts
@@ -277,7 +277,7 @@
   tenure: z.number().nullish(),
 });
 export const readKeys = z.object({
-  items: z.array(z.object({ key: z.string(), data: z.unknown(), stamp: z.number() })),
+  items: z.array(z.object({ key: z.string(), data: z.unknown().optional(), stamp: z.number() })),
   truncated: z.boolean().nullish(),
   ledger: z.number(),
 });
@@ -287,7 +287,7 @@
     z.object({
       write: z.string().nullish(),
       remove: z.string().nullish(),
-      data: z.unknown(),
+      data: z.unknown().optional(),
       stamp: z.number(),
     }),
   ),
--- a/test/stories.test.ts
+++ b/test/stories.test.ts
@@ -117,6 +117,22 @@
   });
 });
 
+describe('the state service', () => {
+  it('followers keep up past removed keys, folded records among them', async () => {
+    const w = new World(10);
+    await w.started();
+    for (let i = 0; i < 60; i++) {
+      w.user(w.job({ shifts: 3, reckon_s: 2 }));
+      await w.time.run(2500);
+    }
+    await over(w, 200);
+    expect(w.state.kv.has('q/head')).toBe(true);
+    const lead = w.nodes[w.leader()]!.controller;
+    const behind = w.nodes.map((n) => lead.position - n.controller.position);
+    for (const b of behind) expect(Math.abs(b)).toBeLessThan(5);
+  });
+});
+
 describe('machines fail', () => {
   it('restarts what was on machines that died, vanished or turned faulty', async () => {
     const w = new World(7);
