--- a/test/stories.test.ts
+++ b/test/stories.test.ts
@@ -121,9 +121,9 @@
   it('followers keep up past removed keys, folded records among them', async () => {
     const w = new World(10);
     await w.started();
-    for (let i = 0; i < 60; i++) {
+    for (let i = 0; i < 130; i++) {
       w.user(w.job({ shifts: 3, reckon_s: 2 }));
-      await w.time.run(2500);
+      await w.time.run(1500);
     }
     await over(w, 200);
     expect(w.state.kv.has('q/head')).toBe(true);
