--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -1,8 +1,9 @@
 import { deflateSync } from 'node:zlib';
 import { giveBack, rent, type CapacityInput } from '../core/capacity.js';
 import { place, type Random } from '../core/placement.js';
+import { preempt } from '../core/preemption.js';
 import type { Job, State } from '../core/state.js';
-import type { Entry, LogRecord, MachineId, RecordNo, Term } from '../core/types.js';
+import { rank, type Entry, type LogRecord, type MachineId, type RecordNo, type Term } from '../core/types.js';
 import { sleep, type Cancel, type Clock } from '../io/clock.js';
 import type { HttpCall } from '../io/http-client.js';
 import type { Logger } from '../io/logger.js';
@@ -172,6 +173,19 @@
       most: 400,
     });
     entries.push(...placed.entries);
+    const preempted = preempt({
+      state,
+      teams: this.teams,
+      usable,
+      unplaced: placed.unplaced,
+      room: placed.room,
+      ran: (l) => {
+        const at = this.workers.startedAt(l);
+        return at === null ? null : (this.clock.steady() - at) / 1000;
+      },
+      least: rank.high,
+    });
+    entries.push(...preempted.entries);
     const up = [...state.machines.values()].filter((m) => m.session > 0 && !m.drop);
     const quiet = up.filter((m) => this.workers.silent(m) > 6).length;
     // When most of them are silent at once, it is the way to them that is broken.
@@ -180,7 +194,7 @@
       state,
       zones: ports.settings.cluster.zones,
       now,
-      unplaced: placed.unplaced,
+      unplaced: preempted.unplaced,
       backoff: (t, z, s) => this.cloud.backoff(t, z, s),
       nextName: () => `h-${this.term}-${++this.hires}`,
       idle: () => 25,
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -24,6 +24,7 @@
   starts: number;
   /** Tasks that found no room, job by job in order of claim. */
   unplaced: { job: Job; tasks: number; guaranteed: boolean }[];
+  room: (m: Machine) => { cpus: number; gpus: number; mem: number };
 }
 
 interface Room {
@@ -33,6 +34,8 @@
   mem: number;
   /** Images that this round's own placements bring here. */
   coming: Set<string>;
+  /** What tasks that are being stopped will leave. */
+  soon: { cpus: number; gpus: number; mem: number };
 }
 
 const hasImage = (r: Room, j: Job): boolean => r.m.images.has(j.spec.image) || r.coming.has(j.spec.image);
@@ -92,6 +95,35 @@
   return b;
 }
 
+/** Sets aside room that tasks are leaving; a gang's as a whole or not at all. */
+function reserve(open: Room[], job: Job, tasks: number): number {
+  const s = job.spec;
+  if (s.spread) return 0;
+  const taken: Room[] = [];
+  for (const r of open) {
+    const fitsSoon = (): boolean =>
+      r.cpus + r.soon.cpus + EPS >= s.cpus &&
+      r.gpus + r.soon.gpus + EPS >= s.gpus &&
+      r.mem + r.soon.mem + EPS >= s.mem;
+    while (taken.length < tasks && r.soon.cpus > EPS && fitsSoon()) {
+      if (s.oneZone && taken.length > 0 && taken[0]!.m.zone !== r.m.zone) break;
+      r.cpus -= s.cpus;
+      r.gpus -= s.gpus;
+      r.mem -= s.mem;
+      taken.push(r);
+    }
+  }
+  if (s.gang && taken.length < tasks) {
+    for (const r of taken) {
+      r.cpus += s.cpus;
+      r.gpus += s.gpus;
+      r.mem += s.mem;
+    }
+    return 0;
+  }
+  return taken.length;
+}
+
 /** One round of starts: best fit in a sample of machines, then in all of them. */
 export function place(input: PlacementInput): PlacementResult {
   const { state, teams, now, random, sample } = input;
@@ -99,7 +131,21 @@
   for (const m of input.usable) {
     const t = state.types.get(m.type);
     if (!t) continue;
-    rooms.push({ m, cpus: t.cpus - m.cpus, gpus: t.gpus - m.gpus, mem: t.mem - m.mem, coming: new Set() });
+    const soon = { cpus: 0, gpus: 0, mem: 0 };
+    for (const l of m.live)
+      if (l.stop) {
+        soon.cpus += l.job.spec.cpus;
+        soon.gpus += l.job.spec.gpus;
+        soon.mem += l.job.spec.mem;
+      }
+    rooms.push({
+      m,
+      cpus: t.cpus - m.cpus,
+      gpus: t.gpus - m.gpus,
+      mem: t.mem - m.mem,
+      coming: new Set(),
+      soon,
+    });
   }
   const use = new Map([...state.teamUse].map(([k, v]) => [k, { ...v }]));
   const entries: Entry[] = [];
@@ -184,7 +230,14 @@
         entries.push({ e: 'start', job: spec.id, p: placed.slice(i, i + 100) });
     }
     const left = tasks.length - placed.length;
-    if (left > 0) unplaced.push({ job, tasks: left, guaranteed });
+    // Room that is being made for this claim is not left to a lesser one meanwhile.
+    const kept = left > 0 ? reserve(open, job, left) : 0;
+    if (left > kept) unplaced.push({ job, tasks: left - kept, guaranteed });
   }
-  return { entries, starts, unplaced };
+  const left = new Map(rooms.map((r) => [r.m, r]));
+  const room = (m: Machine): { cpus: number; gpus: number; mem: number } => {
+    const r = left.get(m);
+    return r ? { cpus: r.cpus, gpus: r.gpus, mem: r.mem } : { cpus: 0, gpus: 0, mem: 0 };
+  };
+  return { entries, starts, unplaced, room };
 }
--- /dev/null
+++ b/test/preemption.test.ts
@@ -0,0 +1,111 @@
+import { describe, expect, it } from 'vitest';
+import { place } from '../src/core/placement.js';
+import { preempt } from '../src/core/preemption.js';
+import { State } from '../src/core/state.js';
+import type { Entry, JobSpec, MachineId, Wall } from '../src/core/types.js';
+import { rank } from '../src/core/types.js';
+import { box } from './fakes/world.js';
+
+const teams = [
+  { name: 'red', cpus: 8, cpusMax: 100, gpus: 0, gpusMax: 0 },
+  { name: 'blue', cpus: 8, cpusMax: 100, gpus: 0, gpusMax: 0 },
+];
+const spec = (id: number, over: Partial<JobSpec>): JobSpec => ({
+  id: `wk-${id}` as JobSpec['id'],
+  class: 'c',
+  team: 'red',
+  gang: false,
+  priority: 'normal',
+  tasks: 1,
+  cpus: 4,
+  gpus: 0,
+  mem: 1,
+  image: 'i',
+  imageGb: 1,
+  types: null,
+  zone: null,
+  oneZone: false,
+  spread: false,
+  spot: true,
+  estimate: 10,
+  checkpoint: 0,
+  save: 0,
+  deadline: null,
+  ...over,
+});
+
+function world(entries: Entry[]) {
+  const state = new State();
+  const write = (list: Entry[]): void =>
+    state.apply(state.next, { term: 1 as never, tag: 1, at: state.next as unknown as Wall, entries: list });
+  write([{ e: 'types', types: [box] }]);
+  write([{ e: 'up', m: 'vm-1' as MachineId, addr: 'x', type: 'box', zone: 'a', spot: false, s: 1 as never }]);
+  write(entries);
+  const round = () => {
+    const usable = [...state.machines.values()];
+    const placed = place({
+      state,
+      teams,
+      now: 1e6 as Wall,
+      random: { below: () => 0 },
+      sample: 5,
+      usable,
+      most: 100,
+    });
+    const p = preempt({
+      state,
+      teams,
+      usable,
+      unplaced: placed.unplaced,
+      room: placed.room,
+      ran: () => 60,
+      least: rank.high,
+    });
+    write([...placed.entries, ...p.entries]);
+    return { starts: placed.entries, stops: p.entries, left: p.unplaced };
+  };
+  return { state, write, round };
+}
+
+describe('room for a claim', () => {
+  it('is made by stopping lower work, and kept while it is being made', () => {
+    const w = world([{ e: 'job', spec: spec(1, { team: 'blue', priority: 'low', tasks: 2 }) }]);
+    expect(w.round().starts).toHaveLength(1);
+    w.write([{ e: 'job', spec: spec(2, { priority: 'high', gang: true, cpus: 8 }) }]);
+    const r = w.round();
+    expect(r.stops).toMatchObject([{ job: 'wk-1', p: [0, 1], grace: 0 }]);
+    expect(r.left).toEqual([]);
+    // One task is gone: its room is too little for the claim, and no lesser job may take it.
+    w.write([{ e: 'end', p: [['wk-1' as JobSpec['id'], 0, 1, 'stopped', false]] }]);
+    expect(w.round().starts).toEqual([]);
+    w.write([{ e: 'end', p: [['wk-1' as JobSpec['id'], 1, 1, 'stopped', false]] }]);
+    expect(w.round().starts).toMatchObject([{ job: 'wk-2' }]);
+  });
+
+  it('is never made at the cost of equal or higher work within its guarantee', () => {
+    const w = world([{ e: 'job', spec: spec(1, { team: 'blue', priority: 'high', tasks: 2 }) }]);
+    w.round();
+    w.write([{ e: 'job', spec: spec(2, { priority: 'high', gang: true, cpus: 8 }) }]);
+    expect(w.round().stops).toEqual([]);
+  });
+
+  it('is made for a guarantee from what another team runs beyond its own', () => {
+    const w = world([{ e: 'job', spec: spec(1, { team: 'blue', priority: 'high', tasks: 4, cpus: 2 }) }]);
+    w.write([{ e: 'job', spec: spec(3, { team: 'blue', priority: 'high', tasks: 1, cpus: 4 }) }]);
+    w.round();
+    // blue holds 8 of its 8 CPUs: nothing of it is beyond its guarantee.
+    w.write([{ e: 'job', spec: spec(2, { priority: 'low', cpus: 2 }) }]);
+    expect(w.round().stops).toEqual([]);
+    w.write([
+      { e: 'up', m: 'vm-2' as MachineId, addr: 'y', type: 'box', zone: 'a', spot: false, s: 1 as never },
+      { e: 'job', spec: spec(4, { team: 'blue', priority: 'high', tasks: 3, cpus: 2 }) },
+    ]);
+    w.state.jobs.get('wk-2' as JobSpec['id'])!.notBefore = 2e6 as Wall;
+    w.round();
+    w.state.jobs.get('wk-2' as JobSpec['id'])!.notBefore = 0 as Wall;
+    w.write([{ e: 'job', spec: spec(5, { priority: 'low', cpus: 2, tasks: 2 }) }]);
+    const stops = w.round().stops as { job: string }[];
+    expect(stops.length).toBeGreaterThan(0);
+    expect(stops.every((s) => s.job !== 'wk-1')).toBe(true);
+  });
+});
