--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -236,9 +236,42 @@
         'round',
       );
     }
+    if (this.clock.steady() - this.pulseAt > 10_000) {
+      this.pulseAt = this.clock.steady();
+      this.pulse(usable.length, preempted.unplaced);
+    }
     if (!this.folding && state.next - 1 - this.head.upto >= FOLD_EVERY) void this.fold();
   }
 
+  /** How things stand, for the operator's log. */
+  private pulse(usable: number, waiting: { job: Job; tasks: number }[]): void {
+    const { state } = this;
+    const n = { machines: 0, booting: 0, idle: 0, spot: 0, cpus: 0, running: 0, held: 0 };
+    for (const m of state.machines.values()) {
+      n.machines++;
+      n.spot += Number(m.spot);
+      n.cpus += state.types.get(m.type)?.cpus ?? 0;
+      if (m.session === 0) n.booting++;
+      else if (m.live.size === 0) n.idle++;
+      for (const l of m.live) {
+        n.held += l.job.spec.cpus;
+        if (this.workers.startedAt(l) !== null) n.running += l.job.spec.cpus;
+      }
+    }
+    this.ports.logger.info(
+      {
+        term: this.term,
+        jobs: state.jobs.size,
+        ...n,
+        usable,
+        waiting: waiting.slice(0, 8).map((w) => `${w.job.spec.class} ${w.job.spec.id}: ${w.tasks}`),
+        writeMs: Math.round(this.log.writes.ms / Math.max(1, this.log.writes.count)),
+      },
+      'pulse',
+    );
+  }
+  private pulseAt = -Infinity;
+
   /** A notice: what can save is stopped with time to save, gangs as a whole. */
   private evacuate(): Entry[] {
     const out: Entry[] = [];
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -34,6 +34,11 @@
   mem: number;
   /** Images that this round's own placements bring here. */
   coming: Set<string>;
+  /** GB a second. */
+  fetch: number;
+  total: number;
+  /** Something runs here, or will after this round. */
+  awake: boolean;
   /** What tasks that are being stopped will leave. */
   soon: { cpus: number; gpus: number; mem: number };
 }
@@ -80,9 +85,15 @@
   (!j.spec.zone || m.zone === j.spec.zone) &&
   (j.spec.spot || !m.spot);
 
-/** Smaller is better: a machine that has the image first, then the tightest fit. */
+/**
+ * Smaller is better, in about seconds: the image's fetch, waking a machine that could be given
+ * back, paying the full price, and the room left over.
+ */
 const score = (r: Room, j: Job): number =>
-  (hasImage(r, j) ? 0 : 1000) + (r.cpus - j.spec.cpus) + (r.mem - j.spec.mem) / 1000;
+  (hasImage(r, j) ? 0 : j.spec.imageGb / r.fetch) +
+  (r.awake ? 0 : 12) +
+  (r.m.spot ? 0 : 4) +
+  ((r.cpus - j.spec.cpus) / r.total) * 6;
 
 function best(rooms: Room[], j: Job): Room | null {
   let b: Room | null = null;
@@ -145,6 +156,9 @@
       mem: t.mem - m.mem,
       coming: new Set(),
       soon,
+      fetch: t.fetch,
+      total: t.cpus,
+      awake: m.live.size > 0,
     });
   }
   const use = new Map([...state.teamUse].map(([k, v]) => [k, { ...v }]));
@@ -209,6 +223,7 @@
         r.gpus -= spec.gpus;
         r.mem -= spec.mem;
         r.coming.add(spec.image);
+        r.awake = true;
         taken.push(r);
         counts.set(r.m.zone, (counts.get(r.m.zone) ?? 0) + 1);
         placed.push([task, attempt, r.m.id]);
