--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -197,6 +197,13 @@
       unplaced: preempted.unplaced,
       backoff: (t, z, s) => this.cloud.backoff(t, z, s),
       nextName: () => `h-${this.term}-${++this.hires}`,
+      usable,
+      room: placed.room,
+      remaining: (l) => {
+        const at = this.workers.startedAt(l);
+        if (at === null || l.stop) return Infinity;
+        return l.job.spec.estimate - (this.clock.steady() - at) / 1000;
+      },
       idle: () => 25,
       silent: (m) => (deaf ? null : this.workers.silent(m)),
       silenceMost: 11,
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -1,8 +1,8 @@
 import { allowed, type PlacementResult } from './placement.js';
-import type { Machine, State } from './state.js';
+import type { Live, Machine, State } from './state.js';
 import { fitsType } from './state.js';
 import type { Entry, MachineId, MachineType, Wall } from './types.js';
-import { EPS } from './types.js';
+import { EPS, rank } from './types.js';
 
 export interface CapacityInput {
   state: State;
@@ -12,6 +12,11 @@
   /** Until when no more is asked of a type, zone and kind that had none to give. */
   backoff: (type: string, zone: string, spot: boolean) => boolean;
   nextName: () => string;
+  /** Machines that take work, and the room this round leaves on each. */
+  usable: Machine[];
+  room: (m: Machine) => { cpus: number; gpus: number; mem: number };
+  /** Seconds until a task is likely to be over. */
+  remaining: (l: Live) => number;
   idle: (m: Machine) => number;
   /** Seconds without a report, or null while silence means nothing. */
   silent: (m: Machine) => number | null;
@@ -27,6 +32,8 @@
   gpus: number;
   mem: number;
   isNew: boolean;
+  /** A machine at work whose tasks will be over before a new one could be up. */
+  soon: boolean;
 }
 
 const priceOf = (t: MachineType, spot: boolean): number => (spot ? t.spotPrice : t.price);
@@ -36,7 +43,7 @@
   const { state, now } = input;
   const bins: Bin[] = [];
   const bin = (type: MachineType, zone: string, spot: boolean, isNew: boolean): Bin => {
-    const b = { type, zone, spot, cpus: type.cpus, gpus: type.gpus, mem: type.mem, isNew };
+    const b = { type, zone, spot, cpus: type.cpus, gpus: type.gpus, mem: type.mem, isNew, soon: false };
     bins.push(b);
     return b;
   };
@@ -48,6 +55,19 @@
     const t = state.types.get(h.type);
     if (t) for (let i = 0; i < h.n; i++) bin(t, h.zone, h.spot, false);
   }
+  // A place that comes free before a new machine could be up is better waited for.
+  for (const m of input.usable) {
+    const t = state.types.get(m.type);
+    if (!t) continue;
+    const r = input.room(m);
+    for (const l of m.live)
+      if (input.remaining(l) < Math.min(t.boot, 20)) {
+        r.cpus += l.job.spec.cpus;
+        r.gpus += l.job.spec.gpus;
+        r.mem += l.job.spec.mem;
+      }
+    if (r.cpus > EPS) bins.push({ type: t, zone: m.zone, spot: m.spot, ...r, isNew: false, soon: true });
+  }
   const zoneOf = new Map<string, string>();
   for (const { job, tasks } of input.unplaced) {
     const s = job.spec;
@@ -56,6 +76,7 @@
       const z = s.oneZone ? zoneOf.get(s.id) : undefined;
       const fit = bins.find(
         (b) =>
+          (!b.soon || rank[s.priority] < rank.high) &&
           b.cpus + EPS >= s.cpus &&
           b.gpus + EPS >= s.gpus &&
           b.mem + EPS >= s.mem &&
