--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -1,6 +1,7 @@
 import { deflateSync } from 'node:zlib';
 import { giveBack, rent, type CapacityInput } from '../core/capacity.js';
 import { place, type Random } from '../core/placement.js';
+import type { Policy } from '../core/policy.js';
 import { preempt } from '../core/preemption.js';
 import type { Job, State } from '../core/state.js';
 import { rank, type Entry, type LogRecord, type MachineId, type RecordNo, type Term } from '../core/types.js';
@@ -26,6 +27,7 @@
   random: Random;
   logger: Logger;
   settings: Settings;
+  policy: Policy;
 }
 
 const ROUND_MS = 1000;
@@ -204,9 +206,8 @@
         if (at === null || l.stop) return Infinity;
         return l.job.spec.estimate - (this.clock.steady() - at) / 1000;
       },
-      idle: () => 25,
+      policy: ports.policy,
       silent: (m) => (deaf ? null : this.workers.silent(m)),
-      silenceMost: 11,
       bootMost: (t) => Math.max(60, (t?.boot ?? 30) * 3.5),
     };
     entries.push(...rent(capacity), ...giveBack(capacity));
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -5,6 +5,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { Controller } from '../actors/controller.js';
+import { defaultPolicy, type Policy } from '../core/policy.js';
 import type { NodeId } from '../core/types.js';
 import { realClock } from '../io/clock.js';
 import { httpCaller } from '../io/http-client.js';
@@ -12,6 +13,7 @@
 import { server } from '../io/server.js';
 import { Cloud } from '../wire/cloud.js';
 import { readSettings, type Settings } from '../wire/settings.js';
+import { readPolicy } from './policy.js';
 import { Store } from '../wire/store.js';
 
 const hostPort = (a: string): { host: string; port: number } => {
@@ -23,12 +25,19 @@
   return readSettings(JSON.parse(readFileSync(file, 'utf8')));
 }
 
+interface Files {
+  config: string;
+  policy?: string;
+}
+
+const policyOf = async (o: Files): Promise<Policy> => (o.policy ? readPolicy(o.policy) : defaultPolicy);
+
 function fail(e: unknown): never {
   process.stderr.write(`quillhead: ${e instanceof Error ? e.message : String(e)}\n`);
   process.exit(2);
 }
 
-async function serve(settings: Settings): Promise<void> {
+async function serve(settings: Settings, policy: Policy): Promise<void> {
   const logger = pino(
     { level: process.env.LOG_LEVEL ?? 'info', base: { node: settings.node } },
     pino.destination({ dest: 2, sync: true }),
@@ -44,6 +53,7 @@
       random: { below: (n) => uniformInt(rng, 0, n - 1) },
       logger,
       settings,
+      policy,
     },
     randomUUID(),
   );
@@ -69,13 +79,19 @@
   .command('serve', { isDefault: true })
   .description('run one controller node')
   .requiredOption('--config <file>', "the platform's settings (JSON)")
-  .action((o: { config: string }) => serve(load(o.config)).catch(fail));
+  .option('--policy <file>', "the operators' policy (a CEL expression)")
+  .action(async (o: Files) => serve(load(o.config), await policyOf(o)));
 program
   .command('check')
-  .description("check the platform's settings")
+  .description("check the platform's settings and the operators' policy")
   .requiredOption('--config <file>', "the platform's settings (JSON)")
-  .action((o: { config: string }) => {
+  .option('--policy <file>', "the operators' policy (a CEL expression)")
+  .action(async (o: Files) => {
     load(o.config);
     process.stdout.write('settings: ok\n');
+    if (o.policy) {
+      await policyOf(o);
+      process.stdout.write('policy: ok\n');
+    }
   });
 program.parseAsync().catch(fail);
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -2,6 +2,7 @@
 import type { Live, Machine, State } from './state.js';
 import { fitsType } from './state.js';
 import type { Entry, MachineId, MachineType, Wall } from './types.js';
+import type { Policy } from './policy.js';
 import { EPS, rank } from './types.js';
 
 export interface CapacityInput {
@@ -17,10 +18,9 @@
   room: (m: Machine) => { cpus: number; gpus: number; mem: number };
   /** Seconds until a task is likely to be over. */
   remaining: (l: Live) => number;
-  idle: (m: Machine) => number;
   /** Seconds without a report, or null while silence means nothing. */
   silent: (m: Machine) => number | null;
-  silenceMost: number;
+  policy: Policy;
   bootMost: (t: MachineType | undefined) => number;
 }
 
@@ -91,7 +91,7 @@
           for (const zone of t.zones) {
             if (!input.zones.includes(zone) || (s.zone && zone !== s.zone) || (z !== undefined && zone !== z))
               continue;
-            for (const spot of s.spot ? [true, false] : [false]) {
+            for (const spot of s.spot && input.policy.rentSpot(s) ? [true, false] : [false]) {
               if (input.backoff(t.name, zone, spot)) continue;
               const per = Math.max(
                 1,
@@ -148,14 +148,19 @@
   const add = (why: string, m: Machine): void => void by.set(why, [...(by.get(why) ?? []), m.id]);
   for (const m of state.machines.values()) {
     if (m.drop) continue;
+    const of = { zone: m.zone, spot: m.spot, type: state.types.get(m.type) };
     if (m.session === 0) {
       if (now - m.hiredAt > input.bootMost(state.types.get(m.type)) * 1000) add('never up', m);
       continue;
     }
     const silent = input.silent(m);
-    if (silent !== null && silent > input.silenceMost) add('silent', m);
+    if (silent !== null && silent > input.policy.silence(of)) add('silent', m);
     else if (m.errors >= 2) add('faulty', m);
-    else if (m.live.size === 0 && now - m.hiredAt > 50_000 && now - m.idleSince > input.idle(m) * 1000)
+    else if (
+      m.live.size === 0 &&
+      now - m.hiredAt > 50_000 &&
+      now - m.idleSince > input.policy.idle(of) * 1000
+    )
       add('idle', m);
   }
   return [...by].map(([why, m]) => ({ e: 'drop', m, why }));
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -1,6 +1,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { Controller } from '../../src/actors/controller.js';
+import { defaultPolicy } from '../../src/core/policy.js';
 import type { JobId, MachineType } from '../../src/core/types.js';
 import type { Logger } from '../../src/io/logger.js';
 import type { PeerAnswer, PeerAsk, Peers, PeerStatus } from '../../src/io/peers.js';
@@ -150,6 +151,7 @@
         random: { below: (n) => uniformInt(rng, 0, n - 1) },
         logger: silent,
         settings: settingsFor(i),
+        policy: defaultPolicy,
       },
       run,
     );
