--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -37,7 +37,7 @@
   process.exit(2);
 }
 
-async function serve(settings: Settings, policy: Policy): Promise<void> {
+function assemble(settings: Settings, policy: Policy) {
   const logger = pino(
     { level: process.env.LOG_LEVEL ?? 'info', base: { node: settings.node } },
     pino.destination({ dest: 2, sync: true }),
@@ -64,14 +64,40 @@
     { ask: (a) => controller.asked(a), status: (s) => controller.peerStatus(s) },
     logger,
   );
+  const http = server(controller, () => controller.status(), logger);
+  return { logger, controller, links, http };
+}
+
+async function serve(settings: Settings, policy: Policy): Promise<void> {
+  const { logger, controller, links, http } = assemble(settings, policy);
   links.start();
   const { host, port } = hostPort(settings.serve_on);
-  const http = server(controller, () => controller.status(), logger);
   http.on('error', fail);
   http.listen(port, host, 1024, () => logger.info({ on: settings.serve_on }, 'serving'));
   await controller.start(links);
 }
 
+/** Builds what a start builds, without listening or calling anybody. */
+async function warm(): Promise<void> {
+  const settings = readSettings({
+    node: 'warm',
+    area: '',
+    serve_on: '127.0.0.1:0',
+    back: '127.0.0.1:0',
+    seeds: [],
+    external: { cloud: '127.0.0.1:9', state: '127.0.0.1:9' },
+    cluster: {
+      zones: [],
+      teams: [],
+      workers: { report_s: 3, lease_s: 16, gang_wait_s: 30, gang_peer_s: 5, cancel_s: 46 },
+      state: { rps: 100, write_rps: 50, value_kb: 8, txn_ops: 12 },
+      cloud: { rps: 3, list_lag_s: 10 },
+    },
+  });
+  const { http } = assemble(settings, defaultPolicy);
+  http.close();
+}
+
 const program = new Command('quillhead')
   .description('A cluster scheduler for small sites')
   .version(process.env.QUILLHEAD_VERSION ?? 'dev');
@@ -94,4 +120,8 @@
       process.stdout.write('policy: ok\n');
     }
   });
+program
+  .command('warm', { hidden: true })
+  .description('used by the build: goes once through what a start goes through')
+  .action(warm);
 program.parseAsync().catch(fail);
--- a/src/cli/policy.ts
+++ b/src/cli/policy.ts
@@ -1,5 +1,5 @@
 import { readFileSync } from 'node:fs';
-import { z } from 'zod';
+import * as z from 'zod';
 import { defaultPolicy, type Policy } from '../core/policy.js';
 import type { JobSpec } from '../core/types.js';
 
--- a/src/wire/schemas.ts
+++ b/src/wire/schemas.ts
@@ -1,5 +1,5 @@
 // The protocols' words end here: inside there are only jobs, tasks, workers, terms and sessions.
-import { z } from 'zod';
+import * as z from 'zod';
 import type {
   Attempt,
   Cause,
--- a/src/wire/settings.ts
+++ b/src/wire/settings.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const hostPort = z.string().regex(/^[^:\s]+:\d+$/, 'must be host:port');
 const positive = z.number().gt(0);
