--- a/src/actors/controller.ts
+++ b/src/actors/controller.ts
@@ -8,6 +8,8 @@
 import { Lock } from './lock.js';
 
 export const LOCK_MS = 2500;
+const DEAF_MS = 5500;
+const HOLD_OFF_MS = 8000;
 
 export type Hello =
   { answer: 'stay'; term: Term; orders: Command[] } | { answer: 'elsewhere'; leader: string | null };
@@ -21,6 +23,9 @@
   private highest = 0;
   private peers: Peers | null = null;
   private contending = false;
+  private notBefore = -Infinity;
+  /** Workers that asked here while another led, and when. */
+  private readonly callers = new Map<string, number>();
   private leaderSeen = -Infinity;
 
   constructor(
@@ -51,6 +56,10 @@
   private watchdog(): void {
     const { clock } = this.ports;
     clock.after(700, () => this.watchdog());
+    if (this.leading && this.deaf(this.leading)) {
+      this.notBefore = clock.steady() + HOLD_OFF_MS;
+      this.lock.release('no worker reaches this node');
+    }
     if (this.leading || clock.steady() - this.leaderSeen < 1500) return;
     void this.follower.checkLeader().then((free) => (free ? this.contend() : undefined));
   }
@@ -64,7 +73,18 @@
       await store.endLease(k.lease);
   }
 
+  /**
+   * A leader that no worker reaches leads nobody, though it may hold its lock for as long as it
+   * likes: it hands over when a peer is reached by workers, or when it hears no peer either.
+   */
+  private deaf(l: LeaderActor): boolean {
+    if (!l.workers.deaf(DEAF_MS)) return false;
+    const fresh = (this.peers?.statuses() ?? []).filter((p) => p.age < 3000);
+    return fresh.length === 0 || fresh.some((p) => p.status.workers > 0);
+  }
+
   private async contend(): Promise<void> {
+    if (this.ports.clock.steady() < this.notBefore) return;
     if (this.contending || this.lock.holding) return;
     this.contending = true;
     try {
@@ -76,6 +96,7 @@
 
   private async takeOver(): Promise<void> {
     const { clock, random, logger } = this.ports;
+    const from = clock.steady();
     await sleep(clock, random.below(60));
     const held = await this.lock.contend();
     if (!held) {
@@ -100,6 +121,7 @@
       (why) => this.lock.lose(why),
       (term) => this.higher(term),
     );
+    this.ports.measure('take_over', clock.steady() - from);
     logger.info({ term: held.term, next: this.follower.state.next }, 'leading');
   }
 
@@ -131,13 +153,19 @@
       run: this.run,
       term: this.highest,
       leading: this.leading !== null && this.lock.certain(),
-      workers: this.leading?.workers.heard(4000) ?? 0,
+      workers: this.leading?.workers.heard(4000) ?? this.called(),
       stateAge: this.leading
         ? this.lock.uncertainFor()
         : Math.min(1e9, clock.steady() - this.follower.lastAnswer),
     };
   }
 
+  private called(): number {
+    const from = this.ports.clock.steady() - 4000;
+    for (const [m, at] of this.callers) if (at < from) this.callers.delete(m);
+    return this.callers.size;
+  }
+
   peerStatus(s: PeerStatus): void {
     this.higher(s.term as Term);
     if (s.leading) this.leaderSeen = this.ports.clock.steady();
@@ -151,7 +179,10 @@
 
   hello(r: WorkerReport, reply: (h: Hello) => void): void {
     const l = this.leading;
-    if (!l) return reply({ answer: 'elsewhere', leader: this.otherLeader() });
+    if (!l) {
+      this.callers.set(r.machine, this.ports.clock.steady());
+      return reply({ answer: 'elsewhere', leader: this.otherLeader() });
+    }
     l.workers.tell({
       t: 'report',
       report: r,
--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -3,10 +3,11 @@
 import { place, type Random } from '../core/placement.js';
 import type { Policy } from '../core/policy.js';
 import { preempt } from '../core/preemption.js';
-import type { Job, State } from '../core/state.js';
+import type { Job, Live, State } from '../core/state.js';
 import { rank, type Entry, type LogRecord, type MachineId, type RecordNo, type Term } from '../core/types.js';
 import { sleep, type Cancel, type Clock } from '../io/clock.js';
 import type { HttpCall } from '../io/http-client.js';
+import type { Measure } from '../io/metrics.js';
 import type { Logger } from '../io/logger.js';
 import type { Cloud } from '../wire/cloud.js';
 import { HEAD, LEADER, chunkKey, recordKey, type HeadValue } from '../wire/keys.js';
@@ -28,6 +29,7 @@
   logger: Logger;
   settings: Settings;
   policy: Policy;
+  measure: Measure;
 }
 
 const ROUND_MS = 1000;
@@ -68,7 +70,18 @@
     this.term = held.term;
     const certain = (): boolean => !this.stopped && lock.certain();
     this.stamp = held.stamp;
-    this.log = new LogActor(state, store, lock, clock, c.state, held.term, held.stamp, logger, onDeposed);
+    this.log = new LogActor(
+      state,
+      store,
+      lock,
+      clock,
+      c.state,
+      held.term,
+      held.stamp,
+      logger,
+      onDeposed,
+      (ms) => ports.measure('write', ms),
+    );
     this.workers = new WorkersActor(
       state,
       this.log,
@@ -89,6 +102,11 @@
       gpusMax: t.gpus_max,
     }));
     this.teams = teams;
+    this.within = new Map(
+      c.objectives.flatMap((o) =>
+        o.kind === 'finished' && o.class && o.within_s ? [[o.class, o.within_s] as const] : [],
+      ),
+    );
     this.admission = new AdmissionActor(state, this.log, clock, teams, certain, (j) =>
       this.workers.running(j),
     );
@@ -100,6 +118,8 @@
   }
   private readonly stamp: number;
   private readonly teams;
+  /** Seconds within which jobs of a class are to be finished. */
+  private readonly within: Map<string, number>;
 
   private tick(): void {
     if (this.stopped) return;
@@ -162,9 +182,20 @@
   private round(): void {
     if (this.stopped || this.deciding || !this.lock.certain() || !this.workers.settled()) return;
     const { state, ports } = this;
+    const from = this.clock.steady();
     const now = this.clock.wall();
     const usable = [...state.machines.values()].filter((m) => this.workers.usable(m));
     const entries: Entry[] = this.evacuate();
+    const hopeless = (j: Job): boolean => {
+      const within = this.within.get(j.spec.class);
+      const age = (now - j.at) / 1000;
+      // Not for ever: what was put off long enough is as good as any other.
+      return within !== undefined && age + j.spec.estimate * 0.7 > within && age < within * 3;
+    };
+    const ran = (l: Live): number | null => {
+      const at = this.workers.startedAt(l);
+      return at === null ? null : (this.clock.steady() - at) / 1000;
+    };
     const placed = place({
       state,
       teams: this.teams,
@@ -173,6 +204,9 @@
       sample: SAMPLE,
       usable,
       most: 400,
+      hopeless,
+      ran,
+      least: rank.high,
     });
     entries.push(...placed.entries);
     const preempted = preempt({
@@ -181,11 +215,9 @@
       usable,
       unplaced: placed.unplaced,
       room: placed.room,
-      ran: (l) => {
-        const at = this.workers.startedAt(l);
-        return at === null ? null : (this.clock.steady() - at) / 1000;
-      },
+      ran,
       least: rank.high,
+      hopeless,
     });
     entries.push(...preempted.entries);
     const up = [...state.machines.values()].filter((m) => m.session > 0 && !m.drop);
@@ -244,6 +276,7 @@
         'round',
       );
     }
+    ports.measure('round', this.clock.steady() - from);
     if (this.clock.steady() - this.pulseAt > 10_000) {
       this.pulseAt = this.clock.steady();
       this.pulse(usable.length, preempted.unplaced);
--- a/src/actors/log.ts
+++ b/src/actors/log.ts
@@ -33,6 +33,7 @@
     private readonly stamp: number,
     private readonly log: Logger,
     private readonly onDeposed: (why: string) => void,
+    private readonly measure: (ms: number) => void,
   ) {
     super();
   }
@@ -112,6 +113,7 @@
     this.state.apply(no, record);
     this.writes.count++;
     this.writes.ms += this.clock.steady() - from;
+    this.measure(this.clock.steady() - from);
     this.writing = false;
     for (const i of items) i.done?.(true);
     this.committed.next({ no, record });
--- a/src/actors/workers.ts
+++ b/src/actors/workers.ts
@@ -79,6 +79,14 @@
     return this.known.get(m.id)?.report.notice ?? null;
   }
 
+  /** Whether none of at least two machines at work has been heard for so long. */
+  deaf(ms: number): boolean {
+    if (this.clock.steady() - this.since < ms) return false;
+    let up = 0;
+    for (const m of this.state.machines.values()) if (m.session > 0 && !m.drop) up++;
+    return up >= 2 && this.heard(ms) === 0;
+  }
+
   /** Workers heard lately. */
   heard(withinMs: number): number {
     let n = 0;
--- /dev/null
+++ b/src/cli/jobs.ts
@@ -0,0 +1,96 @@
+import { readFileSync } from 'node:fs';
+import { inflateSync } from 'node:zlib';
+import type { Command } from 'commander';
+import { State } from '../core/state.js';
+import type { LogRecord } from '../core/types.js';
+import { httpCaller, type HttpAnswer } from '../io/http-client.js';
+import { CHUNKS, HEAD, LEADER, RECORDS, ROOT, TERM, recordOf, type HeadValue } from '../wire/keys.js';
+import type { Settings } from '../wire/settings.js';
+import { Store } from '../wire/store.js';
+
+/** Exit codes that scripts can use. */
+export const EXIT = { ok: 0, refused: 1, usage: 2, unknown: 3, later: 4 } as const;
+
+const exitOf = (a: HttpAnswer | null): number => {
+  if (!a || a.status === 429 || a.status >= 500) return EXIT.later;
+  if (a.status === 404) return EXIT.unknown;
+  return a.status < 300 ? EXIT.ok : EXIT.refused;
+};
+
+function tell(a: HttpAnswer | null, json: boolean): void {
+  const body = (a?.body ?? {}) as { name_id?: string; standing?: string; done?: number; error?: string };
+  if (json) process.stdout.write(`${JSON.stringify({ status: a?.status ?? null, ...body })}\n`);
+  else if (!a) process.stdout.write('no answer: ask another node, or again later\n');
+  else if (body.standing)
+    process.stdout.write(
+      `${body.name_id}: ${body.standing}${body.done === undefined ? '' : `, ${body.done} tasks done`}\n`,
+    );
+  else process.stdout.write(`${a.status}: ${body.error ?? 'no reason given'}\n`);
+  process.exitCode = exitOf(a);
+}
+
+interface Common {
+  node: string;
+  json?: boolean;
+}
+
+const ask = (o: Common, method: 'GET' | 'POST', path: string, body?: unknown): Promise<void> =>
+  httpCaller()(o.node, method, path, body, 5000).then((a) => {
+    tell(a, o.json === true);
+    process.exit();
+  });
+
+export function jobCommands(program: Command): void {
+  const job = program.command('job').description('submit, show and withdraw jobs at any node');
+  const common = (c: Command): Command =>
+    c.requiredOption('--node <host:port>', 'a node').option('--json', 'answer in JSON');
+  common(job.command('submit <file>').description('submit a job (JSON as in the interface)')).action(
+    (file: string, o: Common) => ask(o, 'POST', '/v1/jobs', JSON.parse(readFileSync(file, 'utf8'))),
+  );
+  common(job.command('show <id>').description('the state of a job')).action((id: string, o: Common) =>
+    ask(o, 'GET', `/v1/jobs/${encodeURIComponent(id)}`),
+  );
+  common(job.command('withdraw <id>').description('cancel a job')).action((id: string, o: Common) =>
+    ask(o, 'POST', `/v1/jobs/${encodeURIComponent(id)}/withdraw`, {}),
+  );
+}
+
+/** A read-only view of what the state service holds. */
+export async function showLog(settings: Settings, json: boolean): Promise<void> {
+  const store = new Store(httpCaller(), settings.external.state);
+  const all = await store.list(ROOT, null);
+  if (!all) {
+    process.stderr.write('quillhead: the state service does not answer\n');
+    process.exit(EXIT.later);
+  }
+  const at = new Map(all.items.map((i) => [i.key, i.value]));
+  const head = at.get(HEAD) as HeadValue | undefined;
+  const records = all.items
+    .filter((i) => i.key.startsWith(RECORDS))
+    .map((i) => ({ no: recordOf(i.key), ...(i.value as LogRecord) }));
+  let folded: State | null = null;
+  if (head) {
+    const parts = all.items.filter((i) => i.key.startsWith(CHUNKS) && i.key.includes(String(head.upto)));
+    folded = State.load(
+      JSON.parse(inflateSync(Buffer.from(parts.map((p) => p.value as string).join(''), 'base64')).toString()),
+    );
+  }
+  if (json) {
+    const snapshot = folded ? folded.dump() : null;
+    process.stdout.write(
+      `${JSON.stringify({ leader: at.get(LEADER) ?? null, term: at.get(TERM) ?? null, head: head ?? null, snapshot, records })}\n`,
+    );
+  } else {
+    const leader = at.get(LEADER) as { node: string; term: number } | undefined;
+    process.stdout.write(`leader: ${leader ? `${leader.node}, term ${leader.term}` : 'none'}\n`);
+    if (folded)
+      process.stdout.write(
+        `snapshot up to record ${head!.upto}: ${folded.jobs.size} jobs, ${folded.finals.size} over, ${folded.machines.size} machines\n`,
+      );
+    for (const r of records)
+      process.stdout.write(
+        `${r.no} term ${r.term} ${new Date(r.at).toISOString()} ${r.entries.map((e) => JSON.stringify(e)).join(' ')}\n`,
+      );
+  }
+  process.exit(EXIT.ok);
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -9,10 +9,12 @@
 import type { NodeId } from '../core/types.js';
 import { realClock } from '../io/clock.js';
 import { httpCaller } from '../io/http-client.js';
+import { Metrics } from '../io/metrics.js';
 import { PeerLinks } from '../io/peers.js';
 import { server } from '../io/server.js';
 import { Cloud } from '../wire/cloud.js';
 import { readSettings, type Settings } from '../wire/settings.js';
+import { jobCommands, showLog } from './jobs.js';
 import { readPolicy } from './policy.js';
 import { Store } from '../wire/store.js';
 
@@ -44,6 +46,7 @@
   );
   const rng = xoroshiro128plus(randomInt(0x7fffffff));
   const call = httpCaller();
+  const metrics = new Metrics();
   const controller = new Controller(
     {
       clock: realClock,
@@ -54,6 +57,7 @@
       logger,
       settings,
       policy,
+      measure: metrics.measure,
     },
     randomUUID(),
   );
@@ -64,7 +68,12 @@
     { ask: (a) => controller.asked(a), status: (s) => controller.peerStatus(s) },
     logger,
   );
-  const http = server(controller, () => controller.status(), logger);
+  const http = server(
+    controller,
+    () => ({ ...controller.status(), ...metrics.show() }),
+    logger,
+    metrics.measure,
+  );
   return { logger, controller, links, http };
 }
 
@@ -120,6 +129,13 @@
       process.stdout.write('policy: ok\n');
     }
   });
+program
+  .command('log')
+  .description('show the records and the snapshot in the state service')
+  .requiredOption('--config <file>', "the platform's settings (JSON)")
+  .option('--json', 'in JSON')
+  .action((o: Files & { json?: boolean }) => showLog(load(o.config), o.json === true));
+jobCommands(program);
 program
   .command('warm', { hidden: true })
   .description('used by the build: goes once through what a start goes through')
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -1,4 +1,4 @@
-import { allowed, claims, type PlacementResult } from './placement.js';
+import { allowed, claims, loss, type PlacementResult } from './placement.js';
 import type { Job, Live, Machine, State } from './state.js';
 import type { Entry, Team } from './types.js';
 import { EPS, rank } from './types.js';
@@ -14,6 +14,7 @@
   ran: (l: Live) => number | null;
   /** Only claims of at least this rank stop the work of a lower one. */
   least: number;
+  hopeless?: (j: Job) => boolean;
 }
 
 export interface PreemptionResult {
@@ -29,15 +30,6 @@
   mem: number;
 }
 
-/** What stopping a task throws away, in seconds of a CPU. */
-function loss(l: Live, ran: number | null): number {
-  const s = l.job.spec;
-  if (ran === null) return s.cpus * 2;
-  const lost = s.checkpoint > 0 ? s.save : Math.max(ran, 1);
-  // A start that lasted under 30 s counts for no aim.
-  return s.cpus * (lost + (ran < 30 ? 15 : 0));
-}
-
 /**
  * Makes room by stopping tasks, only as the rules allow: work of a lower priority, or what
  * another team runs beyond its guarantee for a team that is within its own.
@@ -45,7 +37,9 @@
 export function preempt(input: PreemptionInput): PreemptionResult {
   const { state, teams } = input;
   const order = new Map<Job, { at: number; guaranteed: boolean }>();
-  claims(state, teams).forEach((c, i) => order.set(c.job, { at: i, guaranteed: c.guaranteed }));
+  claims(state, teams, input.hopeless).forEach((c, i) =>
+    order.set(c.job, { at: i, guaranteed: c.guaranteed }),
+  );
   const over = (job: Job): boolean => {
     const t = teams.find((x) => x.name === job.spec.team);
     const u = state.teamUse.get(job.spec.team);
@@ -92,9 +86,11 @@
       const pool = zone === null ? open : open.filter((r) => r.m.zone === zone);
       let best: { r: Soon; v: Live[]; cost: number } | null = null;
       for (const r of pool) {
+        const warm = r.m.images.has(s.image);
+        const fetch = warm ? 0 : (s.imageGb / (state.types.get(r.m.type)?.fetch ?? 1)) * s.cpus;
         if (fits(r, job)) {
-          best = { r, v: [], cost: 0 };
-          break;
+          if (!best || fetch < best.cost) best = { r, v: [], cost: fetch };
+          continue;
         }
         if (s.spread) continue;
         const stoppable = [...r.m.live]
@@ -103,7 +99,7 @@
           .sort((a, b) => a.cost / a.l.job.spec.cpus - b.cost / b.l.job.spec.cpus);
         const got = { m: r.m, cpus: r.cpus, gpus: r.gpus, mem: r.mem };
         const v: Live[] = [];
-        let cost = r.m.images.has(s.image) ? 0 : s.cpus * 4;
+        let cost = fetch;
         for (const x of stoppable) {
           if (fits(got, job)) break;
           v.push(x.l);
--- a/src/io/server.ts
+++ b/src/io/server.ts
@@ -2,6 +2,7 @@
 import http from 'node:http';
 import type { Controller } from '../actors/controller.js';
 import type { Reply } from '../actors/admission.js';
+import type { Measure } from './metrics.js';
 import type { Logger } from './logger.js';
 import type { JobId } from '../core/types.js';
 import { jobIdForm, readJob, readReport, writeElsewhere, writeOrders } from '../wire/schemas.js';
@@ -22,7 +23,7 @@
 };
 
 /** The HTTP interface for users, workers and health checks. */
-export function server(c: Controller, metrics: () => object, logger: Logger): http.Server {
+export function server(c: Controller, metrics: () => object, logger: Logger, measure: Measure): http.Server {
   const app = express();
   app.disable('x-powered-by');
   app.disable('etag');
@@ -48,7 +49,11 @@
       logger.info({ error: j.error, body: req.body as unknown }, 'malformed submission');
       return json(res, 400, { error: j.error });
     }
-    void c.user({ kind: 'submit', job: j.spec.id, spec: j.spec }).then((r) => send(res, r));
+    const from = performance.now();
+    void c.user({ kind: 'submit', job: j.spec.id, spec: j.spec }).then((r) => {
+      measure('answer', performance.now() - from);
+      send(res, r);
+    });
   });
   app.post('/v1/jobs/:id/withdraw', (req, res) => {
     const id = req.params.id;
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -152,6 +152,7 @@
         logger: silent,
         settings: settingsFor(i),
         policy: defaultPolicy,
+        measure: () => {},
       },
       run,
     );
--- a/test/stories.test.ts
+++ b/test/stories.test.ts
@@ -117,6 +117,42 @@
   });
 });
 
+describe('a leader that is cut off', () => {
+  it('from all but the state service hands over', async () => {
+    const w = new World(11);
+    await w.started();
+    w.user(w.job({ shifts: 12, reckon_s: 40 }));
+    await w.time.run(25_000);
+    const was = w.leader();
+    const n = `n${was}`;
+    for (const a of [`${n}:80`, `${n}:81`]) w.network.cut(a, '*', 40_000, true);
+    for (const o of [0, 1, 2]) w.network.cut(n, `n${o}:81`, 40_000, true);
+    for (const m of w.workers.keys()) w.network.cut(n, `${m}:9000`, 40_000, true);
+    const sessions = [...w.workers.values()].map((x) => x.session);
+    await w.time.run(14_000);
+    expect(w.leader()).not.toBe(was);
+    expect(w.leader()).toBeGreaterThanOrEqual(0);
+    await w.time.run(6000);
+    expect([...w.workers.values()].map((x) => x.session)).toEqual(sessions);
+    await over(w, 200);
+  });
+
+  it('from the workers alone hands over', async () => {
+    const w = new World(12);
+    await w.started();
+    w.user(w.job({ shifts: 12, reckon_s: 40 }));
+    await w.time.run(25_000);
+    const was = w.leader();
+    for (const m of w.workers.keys()) {
+      w.network.cut(m, `n${was}:80`, 40_000, true);
+      w.network.cut(`n${was}`, `${m}:9000`, 40_000, true);
+    }
+    await w.time.run(14_000);
+    expect(w.leader()).not.toBe(was);
+    await over(w, 200);
+  });
+});
+
 describe('the state service', () => {
   it('followers keep up past removed keys, folded records among them', async () => {
     const w = new World(10);
