--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -205,8 +205,6 @@
       usable,
       most: 400,
       hopeless,
-      ran,
-      least: rank.high,
     });
     entries.push(...placed.entries);
     const preempted = preempt({
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -1,4 +1,4 @@
-import type { Job, Live, Machine, State } from './state.js';
+import type { Job, Machine, State } from './state.js';
 import type { Entry, MachineId, Team, Wall } from './types.js';
 import { EPS, rank } from './types.js';
 
@@ -17,10 +17,6 @@
   usable: Machine[];
   /** At most this many starts in one round. */
   most: number;
-  /** Seconds since a task was first shown running; null before that. */
-  ran?: (l: Live) => number | null;
-  /** Claims of at least this rank may stop lower work. */
-  least?: number;
   /** Jobs that will miss their aim whatever is done now. */
   hopeless?: (j: Job) => boolean;
 }
@@ -120,49 +116,6 @@
   return b;
 }
 
-/** What stopping a task throws away, in seconds of a CPU. */
-export function loss(l: Live, ran: number | null): number {
-  const s = l.job.spec;
-  if (ran === null) return s.cpus * 2;
-  const lost = s.checkpoint > 0 ? s.save : Math.max(ran, 1);
-  // A start that lasted under 30 s counts for no aim.
-  return s.cpus * (lost + (ran < 30 ? 15 : 0));
-}
-
-const FETCH_WORTH_S = 8;
-
-/**
- * Whether stopping lower work where the image is costs less than fetching it on the free machines:
- * then the claim waits the moment that this takes.
- */
-function warmer(open: Room[], job: Job, tasks: number, input: PlacementInput): boolean {
-  const s = job.spec;
-  const { ran, least } = input;
-  if (!ran || rank[s.priority] < (least ?? Infinity) || s.spread) return false;
-  const cold = best(open, job);
-  if (!cold || hasImage(cold, job) || s.imageGb / cold.fetch < FETCH_WORTH_S) return false;
-  const most = (s.imageGb / cold.fetch) * s.cpus;
-  let n = 0;
-  for (const r of open) {
-    if (!hasImage(r, job)) continue;
-    const got = { cpus: r.cpus, gpus: r.gpus, mem: r.mem };
-    let cost = 0;
-    for (const l of r.m.live) {
-      const v = l.job.spec;
-      if (!l.stop) {
-        if (rank[v.priority] >= rank[s.priority] || (v.gang && v.tasks > 1)) continue;
-        cost += loss(l, ran(l));
-      }
-      got.cpus += v.cpus;
-      got.gpus += v.gpus;
-      got.mem += v.mem;
-    }
-    const fit = got.cpus + EPS >= s.cpus && got.gpus + EPS >= s.gpus && got.mem + EPS >= s.mem;
-    if (fit && cost < most) n++;
-  }
-  return n >= tasks;
-}
-
 /** Sets aside room that tasks are leaving; a gang's as a whole or not at all. */
 function reserve(open: Room[], job: Job, tasks: number): number {
   const s = job.spec;
@@ -253,11 +206,9 @@
         zones.sort((a, b) => roomIn(b) - roomIn(a));
       }
     }
-    const tasks: [number, number][] = warmer(open, job, want, input)
-      ? []
-      : spec.gang
-        ? Array.from({ length: spec.tasks }, (_, i) => [i, job.gangTry])
-        : state.waiting(job, want);
+    const tasks: [number, number][] = spec.gang
+      ? Array.from({ length: spec.tasks }, (_, i) => [i, job.gangTry])
+      : state.waiting(job, want);
     let placed: [number, number, MachineId][] = [];
     for (const zone of zones) {
       const pool = zone === null ? open : open.filter((r) => r.m.zone === zone);
@@ -288,7 +239,7 @@
         placed.push([task, attempt, r.m.id]);
       }
       // A gang goes whole or not at all; a one-zone array takes the zone that has room.
-      if ((placed.length === tasks.length && placed.length > 0) || (!spec.gang && placed.length > 0)) break;
+      if (placed.length === tasks.length || (!spec.gang && placed.length > 0)) break;
       for (const r of taken) {
         r.cpus += spec.cpus;
         r.gpus += spec.gpus;
@@ -303,7 +254,7 @@
       for (let i = 0; i < placed.length; i += 100)
         entries.push({ e: 'start', job: spec.id, p: placed.slice(i, i + 100) });
     }
-    const left = want - placed.length;
+    const left = tasks.length - placed.length;
     // Room that is being made for this claim is not left to a lesser one meanwhile.
     const kept = left > 0 ? reserve(open, job, left) : 0;
     if (left > kept) unplaced.push({ job, tasks: left - kept, guaranteed });
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -1,4 +1,4 @@
-import { allowed, claims, loss, type PlacementResult } from './placement.js';
+import { allowed, claims, type PlacementResult } from './placement.js';
 import type { Job, Live, Machine, State } from './state.js';
 import type { Entry, Team } from './types.js';
 import { EPS, rank } from './types.js';
@@ -30,6 +30,15 @@
   mem: number;
 }
 
+/** What stopping a task throws away, in seconds of a CPU. */
+function loss(l: Live, ran: number | null): number {
+  const s = l.job.spec;
+  if (ran === null) return s.cpus * 2;
+  const lost = s.checkpoint > 0 ? s.save : Math.max(ran, 1);
+  // A start that lasted under 30 s counts for no aim.
+  return s.cpus * (lost + (ran < 30 ? 15 : 0));
+}
+
 /**
  * Makes room by stopping tasks, only as the rules allow: work of a lower priority, or what
  * another team runs beyond its guarantee for a team that is within its own.
@@ -86,11 +95,9 @@
       const pool = zone === null ? open : open.filter((r) => r.m.zone === zone);
       let best: { r: Soon; v: Live[]; cost: number } | null = null;
       for (const r of pool) {
-        const warm = r.m.images.has(s.image);
-        const fetch = warm ? 0 : (s.imageGb / (state.types.get(r.m.type)?.fetch ?? 1)) * s.cpus;
         if (fits(r, job)) {
-          if (!best || fetch < best.cost) best = { r, v: [], cost: fetch };
-          continue;
+          best = { r, v: [], cost: 0 };
+          break;
         }
         if (s.spread) continue;
         const stoppable = [...r.m.live]
@@ -99,7 +106,7 @@
           .sort((a, b) => a.cost / a.l.job.spec.cpus - b.cost / b.l.job.spec.cpus);
         const got = { m: r.m, cpus: r.cpus, gpus: r.gpus, mem: r.mem };
         const v: Live[] = [];
-        let cost = fetch;
+        let cost = r.m.images.has(s.image) ? 0 : s.cpus * 4;
         for (const x of stoppable) {
           if (fits(got, job)) break;
           v.push(x.l);
