--- a/src/actors/workers.ts
+++ b/src/actors/workers.ts
@@ -25,6 +25,8 @@
 }
 
 const DIRECT_MS = 2000;
+/** How long reports are answered without a certain lock: longer than an outage should last. */
+const HOLD_MOST_MS = 60_000;
 
 /** Hears the workers, and tells them what the log says. */
 export class WorkersActor extends Actor<WorkerMessage> {
@@ -41,6 +43,7 @@
     private readonly term: Term,
     private readonly reportS: number,
     private readonly certain: () => boolean,
+    private readonly uncertainMs: () => number,
     private readonly onFact: () => void,
     private readonly onHigher: (term: Term) => void,
     private readonly logger: Logger,
@@ -190,6 +193,7 @@
     const k = this.take(r, true);
     if (!k) return null;
     // Without a certain lock nothing is commanded; the answer only keeps the worker's lease.
+    if (this.uncertainMs() > HOLD_MOST_MS) return null;
     if (!this.certain() || k.report !== r) return [];
     const { orders } = this.orders(k);
     for (const o of orders) if (o.op === 'start') k.sent.add(attemptKey(o.job, o.task, o.attempt));
