--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -2,7 +2,6 @@
 import { giveBack, rent, type CapacityInput } from '../core/capacity.js';
 import { place, type Random } from '../core/placement.js';
 import type { Policy } from '../core/policy.js';
-import { consolidate } from '../core/consolidation.js';
 import { preempt } from '../core/preemption.js';
 import type { Job, Live, State } from '../core/state.js';
 import { rank, type Entry, type LogRecord, type MachineId, type RecordNo, type Term } from '../core/types.js';
@@ -36,8 +35,6 @@
 const ROUND_MS = 1000;
 const SAMPLE = 5;
 const FOLD_EVERY = 250;
-const MOVE_EVERY_MS = 4000;
-const CLOSED_MS = 30_000;
 
 type LeaderMessage = { t: 'round' };
 
@@ -55,9 +52,6 @@
   /** Records whose starts and stops no report has shown yet. */
   private outstanding = new Map<RecordNo, Job[]>();
   private folding = false;
-  /** Machines whose tasks were told to move, and until when they take no others. */
-  private readonly closing = new Map<MachineId, number>();
-  private movedAt = -Infinity;
   private soon = false;
 
   constructor(
@@ -191,9 +185,7 @@
     const { state, ports } = this;
     const from = this.clock.steady();
     const now = this.clock.wall();
-    const usable = [...state.machines.values()].filter(
-      (m) => this.workers.usable(m) && (this.closing.get(m.id) ?? 0) < this.clock.steady(),
-    );
+    const usable = [...state.machines.values()].filter((m) => this.workers.usable(m));
     const entries: Entry[] = this.evacuate();
     const hopeless = (j: Job): boolean => {
       const within = this.within.get(j.spec.class);
@@ -227,16 +219,6 @@
       hopeless,
     });
     entries.push(...preempted.entries);
-    if (placed.unplaced.length > 0) this.closing.clear();
-    else if (preempted.entries.length === 0 && this.clock.steady() - this.movedAt > MOVE_EVERY_MS) {
-      const c = consolidate({ state, usable, room: placed.room, ran });
-      if (c) {
-        // Closed for as long as saving takes; it is given back as soon as it is empty.
-        this.movedAt = this.clock.steady();
-        this.closing.set(c.machine.id, this.movedAt + CLOSED_MS);
-        entries.push(...c.entries);
-      }
-    }
     const up = [...state.machines.values()].filter((m) => m.session > 0 && !m.drop);
     const quiet = up.filter((m) => this.workers.silent(m) > 6).length;
     // When most of them are silent at once, it is the way to them that is broken.
@@ -256,7 +238,6 @@
         return l.job.spec.estimate - (this.clock.steady() - at) / 1000;
       },
       policy: ports.policy,
-      closing: (m) => this.closing.has(m.id),
       silent: (m) => (deaf ? null : this.workers.silent(m)),
       bootMost: (t) => Math.max(60, (t?.boot ?? 30) * 3.5),
     };
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -21,8 +21,6 @@
   /** Seconds without a report, or null while silence means nothing. */
   silent: (m: Machine) => number | null;
   policy: Policy;
-  /** Machines that were emptied to be given back. */
-  closing: (m: Machine) => boolean;
   bootMost: (t: MachineType | undefined) => number;
 }
 
@@ -161,7 +159,7 @@
     else if (
       m.live.size === 0 &&
       now - m.hiredAt > 50_000 &&
-      (input.closing(m) || now - m.idleSince > input.policy.idle(of) * 1000)
+      now - m.idleSince > input.policy.idle(of) * 1000
     )
       add('idle', m);
   }
