--- a/test/fakes/worker.ts
+++ b/test/fakes/worker.ts
@@ -264,8 +264,11 @@
 
   private gangBroke(t: WorkerTask): void {
     for (const p of this.peers(t))
-      if (p.t.standing === 'running')
+      if (p.t.standing === 'running') {
+        // A gang that lost a task makes no progress, so none of the others can complete.
+        p.t.version++;
         p.on.later(p.t, this.w.settings.gang_peer_s * 900, () => p.on.exit(p.t, 'peers', true));
+      }
   }
 
   /** A task that goes without an exit: lease over, or machine gone. */
