--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -1,5 +1,5 @@
 import { deflateSync } from 'node:zlib';
-import { giveBack, refill, rent, type CapacityInput } from '../core/capacity.js';
+import { giveBack, rent, type CapacityInput } from '../core/capacity.js';
 import { place, type Random } from '../core/placement.js';
 import type { Policy } from '../core/policy.js';
 import { preempt } from '../core/preemption.js';
@@ -35,7 +35,6 @@
 const ROUND_MS = 1000;
 const SAMPLE = 5;
 const FOLD_EVERY = 250;
-const REFILL_EVERY_MS = 10_000;
 
 type LeaderMessage = { t: 'round' };
 
@@ -53,7 +52,6 @@
   /** Records whose starts and stops no report has shown yet. */
   private outstanding = new Map<RecordNo, Job[]>();
   private folding = false;
-  private refilledAt = -Infinity;
   private soon = false;
 
   constructor(
@@ -243,12 +241,7 @@
       silent: (m) => (deaf ? null : this.workers.silent(m)),
       bootMost: (t) => Math.max(60, (t?.boot ?? 30) * 3.5),
     };
-    const hires = rent(capacity);
-    if (hires.length === 0 && this.clock.steady() - this.refilledAt > REFILL_EVERY_MS) {
-      hires.push(...refill(capacity));
-      if (hires.length > 0) this.refilledAt = this.clock.steady();
-    }
-    entries.push(...hires, ...giveBack(capacity));
+    entries.push(...rent(capacity), ...giveBack(capacity));
     const upto = this.processedUpTo();
     if (entries.length > 0 && upto > state.marked) entries.unshift({ e: 'mark', upto });
     if (entries.length > 0) {
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -36,9 +36,6 @@
   soon: boolean;
 }
 
-/** Ordinary machines at work from which on spot machines are asked for in their place. */
-const REFILL_FROM = 4;
-
 const priceOf = (t: MachineType, spot: boolean): number => (spot ? t.spotPrice : t.price);
 
 /** What to rent for the tasks that found no room, machines on their way counted first. */
@@ -144,33 +141,6 @@
   }));
 }
 
-/**
- * Spot machines to take the place of ordinary ones at work: those that were taken away come back
- * only when somebody asks, and without a queue nobody would.
- */
-export function refill(input: CapacityInput): Entry[] {
-  const { state } = input;
-  if (state.hires.size > 0) return [];
-  let ordinary = 0;
-  for (const m of state.machines.values()) {
-    if (m.session === 0 && !m.drop) return [];
-    if (!m.spot && m.live.size > 0) ordinary++;
-  }
-  const asks = [...state.jobs.values()].some(
-    (j) => j.spec.spot && !j.withdrawn && input.policy.rentSpot(j.spec),
-  );
-  if (!asks || ordinary < REFILL_FROM) return [];
-  let pick: { t: MachineType; zone: string } | null = null;
-  for (const t of state.types.values())
-    for (const zone of t.zones) {
-      if (!input.zones.includes(zone) || input.backoff(t.name, zone, true)) continue;
-      if (t.spotPrice > t.price * 0.7) continue;
-      if (!pick || t.spotPrice / t.cpus < pick.t.spotPrice / pick.t.cpus) pick = { t, zone };
-    }
-  if (!pick) return [];
-  return [{ e: 'hire', name: input.nextName(), type: pick.t.name, zone: pick.zone, spot: true, n: 1 }];
-}
-
 /** Machines to give back: silent, never up, set aside or idle for too long. */
 export function giveBack(input: CapacityInput): Entry[] {
   const { state, now } = input;
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -101,7 +101,7 @@
  */
 const score = (r: Room, j: Job): number =>
   (hasImage(r, j) ? 0 : j.spec.imageGb / r.fetch) +
-  (r.awake || r.m.spot ? 0 : 12) +
+  (r.awake ? 0 : 12) +
   (r.m.spot ? 0 : 4) +
   ((r.cpus - j.spec.cpus) / r.total) * 6;
 
