--- a/src/core/policy.ts
+++ b/src/core/policy.ts
@@ -11,7 +11,8 @@
 }
 
 export const defaultPolicy: Policy = {
-  idle: (m) => (m.spot ? 40 : 15),
+  // An idle machine's images are worth keeping for as long as fetching them again is slow.
+  idle: (m) => (m.spot ? 40 : Math.min(20, 5 + 1 / (m.type?.fetch ?? 0.1))),
   rentSpot: () => true,
   silence: () => 11,
 };
