--- a/src/core/policy.ts
+++ b/src/core/policy.ts
@@ -11,8 +11,7 @@
 }
 
 export const defaultPolicy: Policy = {
-  // An idle machine's images are worth keeping for as long as fetching them again is slow.
-  idle: (m) => (m.spot ? 40 : Math.min(20, 5 + 1 / (m.type?.fetch ?? 0.1))),
+  idle: (m) => (m.spot ? 40 : 15),
   rentSpot: () => true,
   silence: () => 11,
 };
