--- a/src/actors/admission.ts
+++ b/src/actors/admission.ts
@@ -43,6 +43,7 @@
     private readonly log: LogActor,
     private readonly clock: Clock,
     private readonly teams: readonly Team[],
+    private readonly valueKb: number,
     private readonly certain: () => boolean,
     private readonly running: (job: Job) => number,
   ) {
@@ -81,6 +82,9 @@
     if (known) return reply(known);
     const no = refuse(spec, this.teams, this.state.types.values());
     if (no) return reply(no.status === 503 ? later(no.reason) : { status: 422, body: { error: no.reason } });
+    // What no record can hold would stop the pen for good.
+    if (Buffer.byteLength(JSON.stringify(spec)) > this.valueKb * 1024 - 400)
+      return reply({ status: 400, body: { error: 'the description is too long to be kept' } });
     this.write(`s ${spec.id}`, { e: 'job', spec }, reply, () => ({
       ...(this.standing(spec.id) ?? later('not written')),
       status: this.state.jobs.has(spec.id) || this.state.finals.has(spec.id) ? 201 : 503,
--- a/src/actors/controller.ts
+++ b/src/actors/controller.ts
@@ -7,7 +7,7 @@
 import { LeaderActor, type LeaderPorts } from './leader.js';
 import { Lock } from './lock.js';
 
-export const LOCK_MS = 1800;
+export const LOCK_MS = 2500;
 const DEAF_MS = 5500;
 const HOLD_OFF_MS = 8000;
 
--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -108,7 +108,7 @@
         o.kind === 'finished' && o.class && o.within_s ? [[o.class, o.within_s] as const] : [],
       ),
     );
-    this.admission = new AdmissionActor(state, this.log, clock, teams, certain, (j) =>
+    this.admission = new AdmissionActor(state, this.log, clock, teams, c.state.value_kb, certain, (j) =>
       this.workers.running(j),
     );
     this.cloud = new CloudActor(state, cloud, this.log, clock, c.cloud, certain, logger);
