Stories of notices, waves, clouds and bursts; mend three faults that they found

(1) When a wave took more than half of the machines they were never returned, and their tasks never ran again: silence of most now counts after their lease and a quarter. (2) A job that failed on one machine waited for room on that same machine for ever, and one that fails everywhere asked for a new machine each time: planning avoids what placing avoids, and after three machines the fault is the job's. (3) Machines of a rental that the cloud answered late counted as late to boot and were rented again: their boot is counted from the answer.

--- a/src/actors/controller.ts
+++ b/src/actors/controller.ts
@@ -146,6 +146,11 @@
     return this.follower.state.next;
   }
 
+  /** What this node would fold now. */
+  dump(): unknown {
+    return this.follower.state.dump();
+  }
+
   status(): PeerStatus {
     const { clock, settings } = this.ports;
     return {
--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -221,7 +221,6 @@
     entries.push(...preempted.entries);
     const up = [...state.machines.values()].filter((m) => m.session > 0 && !m.drop);
     const quiet = up.filter((m) => this.workers.silent(m) > 6).length;
-    // When most of them are silent at once, it is the way to them that is broken.
     const deaf = up.length >= 3 && quiet * 2 > up.length;
     const capacity: CapacityInput = {
       state,
@@ -238,7 +237,9 @@
         return l.job.spec.estimate - (this.clock.steady() - at) / 1000;
       },
       policy: ports.policy,
-      silent: (m) => (deaf ? null : this.workers.silent(m)),
+      silent: (m) => this.workers.silent(m),
+      deaf,
+      leaseS: ports.settings.cluster.workers.lease_s,
       bootMost: (t) => Math.max(60, (t?.boot ?? 30) * 3.5),
     };
     entries.push(...rent(capacity), ...giveBack(capacity));
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -1,6 +1,6 @@
 import { allowed, type PlacementResult } from './placement.js';
 import type { Live, Machine, State } from './state.js';
-import { fitsType } from './state.js';
+import { avoids, fitsType } from './state.js';
 import type { Entry, MachineId, MachineType, Wall } from './types.js';
 import type { Policy } from './policy.js';
 import { EPS, rank } from './types.js';
@@ -18,8 +18,11 @@
   room: (m: Machine) => { cpus: number; gpus: number; mem: number };
   /** Seconds until a task is likely to be over. */
   remaining: (l: Live) => number;
-  /** Seconds without a report, or null while silence means nothing. */
-  silent: (m: Machine) => number | null;
+  /** Seconds without a report. */
+  silent: (m: Machine) => number;
+  /** Most machines are silent at once. */
+  deaf: boolean;
+  leaseS: number;
   policy: Policy;
   bootMost: (t: MachineType | undefined) => number;
 }
@@ -33,7 +36,7 @@
   mem: number;
   isNew: boolean;
   /** A machine at work whose tasks will be over before a new one could be up. */
-  soon: boolean;
+  soon: MachineId | null;
 }
 
 const priceOf = (t: MachineType, spot: boolean): number => (spot ? t.spotPrice : t.price);
@@ -43,7 +46,7 @@
   const { state, now } = input;
   const bins: Bin[] = [];
   const bin = (type: MachineType, zone: string, spot: boolean, isNew: boolean): Bin => {
-    const b = { type, zone, spot, cpus: type.cpus, gpus: type.gpus, mem: type.mem, isNew, soon: false };
+    const b = { type, zone, spot, cpus: type.cpus, gpus: type.gpus, mem: type.mem, isNew, soon: null };
     bins.push(b);
     return b;
   };
@@ -66,7 +69,7 @@
         r.gpus += l.job.spec.gpus;
         r.mem += l.job.spec.mem;
       }
-    if (r.cpus > EPS) bins.push({ type: t, zone: m.zone, spot: m.spot, ...r, isNew: false, soon: true });
+    if (r.cpus > EPS) bins.push({ type: t, zone: m.zone, spot: m.spot, ...r, isNew: false, soon: m.id });
   }
   const zoneOf = new Map<string, string>();
   for (const { job, tasks } of input.unplaced) {
@@ -76,7 +79,7 @@
       const z = s.oneZone ? zoneOf.get(s.id) : undefined;
       const fit = bins.find(
         (b) =>
-          (!b.soon || rank[s.priority] < rank.high) &&
+          (b.soon === null || (rank[s.priority] < rank.high && !avoids(job, b.soon))) &&
           b.cpus + EPS >= s.cpus &&
           b.gpus + EPS >= s.gpus &&
           b.mem + EPS >= s.mem &&
@@ -154,7 +157,12 @@
       continue;
     }
     const silent = input.silent(m);
-    if (silent !== null && silent > input.policy.silence(of)) add('silent', m);
+    // When most are silent at once, the way to them may be what is broken; but past their lease
+    // nothing is left on them that waiting could save.
+    const most = input.deaf
+      ? Math.max(input.policy.silence(of), input.leaseS * 1.25 + 3)
+      : input.policy.silence(of);
+    if (silent > most) add('silent', m);
     else if (m.errors >= 2) add('faulty', m);
     else if (
       m.live.size === 0 &&
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -1,4 +1,4 @@
-import type { Job, Machine, State } from './state.js';
+import { avoids, type Job, type Machine, type State } from './state.js';
 import type { Entry, MachineId, Team, Wall } from './types.js';
 import { EPS, rank } from './types.js';
 
@@ -188,7 +188,7 @@
     want = Math.min(want, limit, Math.max(0, input.most - starts));
     if (want === 0 || (spec.gang && want < spec.tasks)) continue;
 
-    const open = rooms.filter((r) => allowed(job, r.m) && !job.errorMachines.has(r.m.id));
+    const open = rooms.filter((r) => allowed(job, r.m) && !avoids(job, r.m.id));
     const perZone = new Map<string, number>();
     for (const l of job.live.values()) perZone.set(l.machine.zone, (perZone.get(l.machine.zone) ?? 0) + 1);
     const zoneMost = spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -1,5 +1,5 @@
 import { allowed, claims, type PlacementResult } from './placement.js';
-import type { Job, Live, Machine, State } from './state.js';
+import { avoids, type Job, type Live, type Machine, type State } from './state.js';
 import type { Entry, Team } from './types.js';
 import { EPS, rank } from './types.js';
 
@@ -90,7 +90,7 @@
     for (const l of job.live.values()) if (s.oneZone) zone = l.machine.zone;
     let missing = u.tasks;
     const picks: { r: Soon; v: Live[] }[] = [];
-    const open = soon.filter((r) => allowed(job, r.m) && !job.errorMachines.has(r.m.id));
+    const open = soon.filter((r) => allowed(job, r.m) && !avoids(job, r.m.id));
     while (missing > 0) {
       const pool = zone === null ? open : open.filter((r) => r.m.zone === zone);
       let best: { r: Soon; v: Live[]; cost: number } | null = null;
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -127,7 +127,9 @@
         const h = this.hires.get(e.name);
         if (!h) return;
         this.hires.delete(e.name);
-        for (const m of e.m) if (!this.machines.has(m) && !this.gone.has(m)) this.machine(m, h, h.at);
+        // From the answer on: the request may have been repeated for long, and a machine is not late
+        // to boot because the cloud was late to answer.
+        for (const m of e.m) if (!this.machines.has(m) && !this.gone.has(m)) this.machine(m, h, at);
         return;
       }
       case 'drop':
@@ -409,6 +411,13 @@
   }
 }
 
+/** From here on the failures are taken to be the job's own. */
+const FAILS_ANYWHERE = 3;
+
+/** Where a task failed it is not started again, unless it fails wherever it runs. */
+export const avoids = (job: Job, m: MachineId): boolean =>
+  job.errorMachines.size < FAILS_ANYWHERE && job.errorMachines.has(m);
+
 export function fitsType(spec: JobSpec, t: MachineType): boolean {
   return (
     (!spec.types || spec.types.includes(t.name)) &&
--- a/test/fakes/worker.ts
+++ b/test/fakes/worker.ts
@@ -27,6 +27,7 @@
   nodes: { name: string; address: string }[];
   type: (name: string) => MachineType;
   runMs: (j: JobOnWire) => number;
+  failing: Set<string>;
   workers: Map<string, FakeWorker>;
   settings: { report_s: number; lease_s: number; gang_wait_s: number; gang_peer_s: number };
 }
@@ -193,7 +194,8 @@
     this.later(t, this.images.has(job.kit) ? 5 : (job.image_gb / type.fetch) * 1000, () => {
       this.images.add(job.kit);
       this.w.checker.start(job.name_id, t.task, this.place);
-      if (this.faulty) return this.later(t, 1000, () => this.exit(t, 'error', true));
+      if (this.faulty || this.w.failing.has(job.name_id))
+        return this.later(t, 1000, () => this.exit(t, 'error', true));
       if (job.shape === 'ensemble') {
         t.standing = 'waiting';
         this.changed();
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -76,6 +76,8 @@
   readonly nodes: NodeHere[] = [];
   /** What each job's tasks take, by the job's name. */
   runMs: (j: JobOnWire) => number = (j) => j.reckon_s * 1000;
+  /** Jobs submitted with a mistake: their tasks fail on every machine. */
+  readonly failing = new Set<string>();
   private readonly rng;
   private ids = 1;
 
@@ -99,6 +101,7 @@
       runMs: (j) => this.runMs(j),
       workers: this.workers,
       settings: s.workers,
+      failing: this.failing,
     };
     this.cloud = new FakeCloud(
       this.time,
--- a/test/stories.test.ts
+++ b/test/stories.test.ts
@@ -183,6 +183,52 @@
     await over(w, 300);
   });
 
+  it('a notice lets what can save go on elsewhere', async () => {
+    const w = new World(20);
+    await w.started();
+    w.user(w.job({ shifts: 4, cpus: 2, reckon_s: 60, waymark_s: 20, stow_s: 2 }));
+    w.user(w.job({ shape: 'ensemble', shifts: 2, cpus: 6, reckon_s: 60, waymark_s: 20, stow_s: 2 }));
+    await w.time.run(30_000);
+    const saved = new Set<string>();
+    const doomed = [...w.workers.values()];
+    for (const x of doomed) {
+      x.notice = 8;
+      w.time.after(8000, () => w.cloud.lose(x.place.id, 'missing'));
+    }
+    for (let i = 0; i < 80; i++) {
+      await w.time.run(100);
+      for (const x of doomed)
+        for (const t of x.tasks.values()) if (t.stored) saved.add(`${t.job.name_id}/${t.task}`);
+    }
+    expect(saved.size).toBe(6);
+    await over(w, 300);
+  });
+
+  it('a wave without notice costs a restart, not a rule', async () => {
+    const w = new World(21);
+    await w.started();
+    w.user(w.job({ shifts: 20, reckon_s: 40 }));
+    await w.time.run(25_000);
+    for (const id of [...w.workers.keys()].slice(0, 3)) w.cloud.lose(id, 'missing');
+    await over(w, 300);
+  });
+
+  it('a job that fails everywhere is not tried in a hot loop and spoils no machine', async () => {
+    const w = new World(22);
+    await w.started();
+    for (let i = 0; i < 3; i++) w.user(w.job({ shifts: 1, cpus: 8, reckon_s: 100 }));
+    await w.time.run(25_000);
+    const bad = w.job({ shifts: 1, cpus: 1 });
+    w.failing.add(bad.name_id);
+    w.user(bad, 80_000);
+    const before = w.checker.starts;
+    await w.time.run(80_000);
+    // Backing off by doubling: a handful of starts in a minute and more.
+    expect(w.checker.starts - before).toBeLessThan(10);
+    expect(w.checker.starts - before).toBeGreaterThan(2);
+    await over(w, 200);
+  });
+
   it('a cut machine whose commands arrive late breaks no rule', async () => {
     const w = new World(8);
     await w.started();
@@ -196,6 +242,59 @@
   });
 });
 
+describe('the cloud fails', () => {
+  it('its outage delays, and a rental without an answer is not made twice', async () => {
+    const w = new World(30);
+    await w.started();
+    w.network.cut('cloud:1', '*', 9000);
+    w.user(w.job({ shifts: 4, cpus: 8 }));
+    await w.time.run(9000);
+    w.cloud.outage(10_000);
+    await over(w, 200);
+    expect(w.cloud.rentals).toBeLessThanOrEqual(4);
+  });
+
+  it('where it has nothing to give, other kinds and zones are asked', async () => {
+    const w = new World(31);
+    for (const z of ['a', 'b']) w.cloud.room.set(`box|${z}|true`, 0);
+    w.cloud.room.set('box|a|false', 1);
+    await w.started();
+    w.user(w.job({ shifts: 12, cpus: 2 }));
+    await over(w, 200);
+    expect([...new Set([...w.cloud.machines.values()].map((m) => `${m.zone} ${m.spot}`))].sort()).toEqual([
+      'a false',
+      'b false',
+    ]);
+  });
+});
+
+describe('a burst', () => {
+  it('is taken or refused at once, and gangs of high priority still start', async () => {
+    const w = new World(40);
+    await w.started();
+    for (let i = 0; i < 60; i++)
+      w.user(w.job({ desk: 'blue', urgency: 'low', shifts: 20, cpus: 1, reckon_s: 8 }));
+    await w.time.run(20_000);
+    const gang = w.job({ shape: 'ensemble', shifts: 2, cpus: 4, urgency: 'high' });
+    w.user(gang);
+    await w.time.run(45_000);
+    expect(w.checker.standing(gang.name_id)).toBe('done');
+    expect(w.state.over).toBe(0);
+    await over(w, 1200);
+  });
+
+  it('of the largest job is stored compactly', async () => {
+    const w = new World(41);
+    await w.started();
+    const j = w.job({ shifts: 100_000, cpus: 1, reckon_s: 100_000 });
+    w.user(j, 60_000);
+    await w.time.run(40_000);
+    const lead = w.nodes[w.leader()]!.controller;
+    expect(JSON.stringify(lead.dump()).length).toBeLessThan(60_000);
+    await over(w, 200);
+  });
+});
+
 describe('overlapping troubles', () => {
   for (let seed = 100; seed < 112; seed++)
     it(`mix ${seed}`, async () => {
