--- a/src/io/peers.ts
+++ b/src/io/peers.ts
@@ -132,8 +132,20 @@
     private readonly log: Logger,
   ) {}
 
+  private server: net.Server | null = null;
+  private stopped = false;
+
+  stop(): void {
+    this.stopped = true;
+    this.server?.close();
+    for (const s of this.sockets) s.destroy();
+  }
+  private readonly sockets = new Set<net.Socket>();
+
   start(): void {
     const server = net.createServer((s) => {
+      this.sockets.add(s);
+      s.on('close', () => this.sockets.delete(s));
       s.setNoDelay(true);
       s.setTimeout(10_000, () => s.destroy());
       s.on('error', () => s.destroy());
@@ -157,6 +169,7 @@
       );
     });
     server.on('error', (e) => this.log.error({ err: e.message }, 'peer listener'));
+    this.server = server;
     server.listen(this.listen.port, this.listen.host);
     for (const p of this.peers) this.dial(p);
   }
@@ -168,6 +181,7 @@
 
   private dial(p: { node: NodeId; host: string; port: number }): void {
     const s = net.connect({ host: p.host, port: p.port, noDelay: true });
+    this.sockets.add(s);
     let last = performance.now();
     const tick = setInterval(() => {
       if (performance.now() - last > SILENT_MS) s.destroy();
@@ -195,8 +209,9 @@
     s.on('error', () => s.destroy());
     s.on('close', () => {
       clearInterval(tick);
+      this.sockets.delete(s);
       if (this.open.get(p.node) === s) this.open.delete(p.node);
-      setTimeout(() => this.dial(p), 500);
+      if (!this.stopped) setTimeout(() => this.dial(p), 500);
     });
   }
 
