--- a/src/actors/follower.ts
+++ b/src/actors/follower.ts
@@ -4,7 +4,6 @@
 import { sleep, type Clock } from '../io/clock.js';
 import type { Logger } from '../io/logger.js';
 import {
-  CHUNKS,
   HEAD,
   LEADER,
   RECORDS,
@@ -172,10 +171,6 @@
     this.loaded = false;
   }
 
-  get prefixOfChunks(): string {
-    return CHUNKS;
-  }
-
   stop(): void {
     this.stopped = true;
   }
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -93,8 +93,6 @@
   teamUse = new Map<string, { cpus: number; gpus: number }>();
   gone = new Set<MachineId>();
   orders = 0;
-  /** Run times of finished tasks by class, for better guesses than the owners' estimates. */
-  hiresLogged = 0;
 
   apply(no: RecordNo, rec: LogRecord): void {
     if (no !== this.next) throw new Error(`record ${no} applied where ${this.next} is due`);
@@ -120,7 +118,6 @@
           this.end(job, task, attempt as Attempt, cause, saved, at);
         return;
       case 'hire':
-        this.hiresLogged++;
         this.hires.set(e.name, { name: e.name, type: e.type, zone: e.zone, spot: e.spot, n: e.n, at });
         return;
       case 'hired': {
@@ -337,7 +334,6 @@
       next: this.next,
       marked: this.marked,
       orders: this.orders,
-      hiresLogged: this.hiresLogged,
       types: [...this.types.values()],
       hires: [...this.hires.values()],
       gone: [...this.gone],
@@ -366,7 +362,6 @@
     s.next = d.next;
     s.marked = d.marked;
     s.orders = d.orders;
-    s.hiresLogged = d.hiresLogged;
     s.types = new Map(d.types.map((t: MachineType) => [t.name, t]));
     s.hires = new Map(d.hires.map((h: Hire) => [h.name, h]));
     s.gone = new Set(d.gone);
