--- a/src/actors/controller.ts
+++ b/src/actors/controller.ts
@@ -1,7 +1,7 @@
 import type { JobId, JobSpec, Term, WorkerReport, Command } from '../core/types.js';
 import type { Peers, PeerAnswer, PeerAsk, PeerStatus } from '../io/peers.js';
 import { sleep } from '../io/clock.js';
-import type { LeaderValue } from '../wire/keys.js';
+import { LEADER, type LeaderValue } from '../wire/keys.js';
 import { finalAnswer, later, type Reply, type UserRequest } from './admission.js';
 import { Follower } from './follower.js';
 import { LeaderActor, type LeaderPorts } from './leader.js';
@@ -67,7 +67,7 @@
   /** A lock still held by an earlier run of this node holds nobody: that run is over. */
   private async buryFormerSelf(): Promise<void> {
     const { store, settings } = this.ports;
-    const k = await store.get('q/leader');
+    const k = await store.get(LEADER);
     const v = k?.value as LeaderValue | undefined;
     if (k && k.lease !== null && v?.node === settings.node && v.run !== this.run)
       await store.endLease(k.lease);
--- a/src/actors/follower.ts
+++ b/src/actors/follower.ts
@@ -1,4 +1,3 @@
-import { inflateSync } from 'node:zlib';
 import { State } from '../core/state.js';
 import type { LogRecord, RecordNo } from '../core/types.js';
 import { sleep, type Clock } from '../io/clock.js';
@@ -8,13 +7,13 @@
   LEADER,
   RECORDS,
   ROOT,
-  chunkKey,
   recordKey,
   recordOf,
   type HeadValue,
   type LeaderValue,
 } from '../wire/keys.js';
 import type { Revision, Store } from '../wire/store.js';
+import { unpack } from './snapshot.js';
 
 /** Follows the log by watch, so that a take-over finds the state at hand. */
 export class Follower {
@@ -120,13 +119,9 @@
     const head = (keys.get(HEAD) as HeadValue | undefined) ?? { upto: 0, chunks: 0 };
     let state = new State();
     if (head.upto > 0) {
-      const parts: string[] = [];
-      for (let i = 0; i < head.chunks; i++) {
-        const c = keys.get(chunkKey(head.upto, i));
-        if (typeof c !== 'string') return false;
-        parts.push(c);
-      }
-      state = State.load(JSON.parse(inflateSync(Buffer.from(parts.join(''), 'base64')).toString()));
+      const folded = unpack(keys, head);
+      if (!folded) return false;
+      state = folded;
     }
     for (const i of all.items) {
       if (!i.key.startsWith(RECORDS)) continue;
--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -1,9 +1,8 @@
-import { deflateSync } from 'node:zlib';
 import { giveBack, rent, type CapacityInput } from '../core/capacity.js';
-import { place, type Random } from '../core/placement.js';
+import { claims, place, type Random } from '../core/placement.js';
 import type { Policy } from '../core/policy.js';
 import { preempt } from '../core/preemption.js';
-import type { Job, Live, State } from '../core/state.js';
+import { isUp, type Job, type Live, type State } from '../core/state.js';
 import { rank, type Entry, type LogRecord, type MachineId, type RecordNo, type Term } from '../core/types.js';
 import { sleep, type Cancel, type Clock } from '../io/clock.js';
 import type { HttpCall } from '../io/http-client.js';
@@ -18,6 +17,7 @@
 import { CloudActor } from './cloud.js';
 import type { Held, Lock } from './lock.js';
 import { LogActor } from './log.js';
+import { pack } from './snapshot.js';
 import { WorkersActor } from './workers.js';
 
 export interface LeaderPorts {
@@ -197,7 +197,9 @@
       const at = this.workers.startedAt(l);
       return at === null ? null : (this.clock.steady() - at) / 1000;
     };
+    const order = claims(state, this.teams, hopeless);
     const placed = place({
+      claims: order,
       state,
       teams: this.teams,
       now,
@@ -205,21 +207,21 @@
       sample: SAMPLE,
       usable,
       most: 400,
-      hopeless,
     });
     entries.push(...placed.entries);
     const preempted = preempt({
+      claims: order,
       state,
       teams: this.teams,
       usable,
       unplaced: placed.unplaced,
       room: placed.room,
+      soon: placed.soon,
       ran,
       least: rank.high,
-      hopeless,
     });
     entries.push(...preempted.entries);
-    const up = [...state.machines.values()].filter((m) => m.session > 0 && !m.drop);
+    const up = [...state.machines.values()].filter(isUp);
     const quiet = up.filter((m) => this.workers.silent(m) > 6).length;
     const deaf = up.length >= 3 && quiet * 2 > up.length;
     const capacity: CapacityInput = {
@@ -232,9 +234,8 @@
       usable,
       room: placed.room,
       remaining: (l) => {
-        const at = this.workers.startedAt(l);
-        if (at === null || l.stop) return Infinity;
-        return l.job.spec.estimate - (this.clock.steady() - at) / 1000;
+        const r = ran(l);
+        return r === null || l.stop ? Infinity : l.job.spec.estimate - r;
       },
       policy: ports.policy,
       silent: (m) => this.workers.silent(m),
@@ -342,11 +343,9 @@
     const limits = settings.cluster.state;
     const upto = this.state.next - 1;
     const old = this.head;
-    const packed = deflateSync(JSON.stringify(this.state.dump())).toString('base64');
     const size = Math.floor(limits.value_kb * 1024 - 64);
-    const ops: Op[] = [];
-    for (let i = 0; i * size < packed.length; i++)
-      ops.push({ put: chunkKey(upto, i), value: packed.slice(i * size, (i + 1) * size) });
+    const pieces = pack(this.state, size);
+    const ops: Op[] = pieces.map((value, i) => ({ put: chunkKey(upto, i), value }));
     const chunks = ops.length;
     const head: HeadValue = { upto, chunks };
     const most = Math.max(
@@ -377,7 +376,7 @@
     for (let i = 0; i < old.chunks; i++) rest.push({ remove: chunkKey(old.upto, i) });
     await inParts(rest, Math.max(1, Math.min(limits.txn_ops, Math.floor(limits.write_rps * 0.25))));
     this.folding = false;
-    logger.info({ upto, chunks, bytes: packed.length }, 'folded');
+    logger.info({ upto, chunks, bytes: pieces.join('').length }, 'folded');
   }
 
   override stop(): void {
--- a/src/actors/workers.ts
+++ b/src/actors/workers.ts
@@ -1,5 +1,5 @@
 import { attemptKey, commands, facts, type Seen } from '../core/recovery.js';
-import type { Job, Live, Machine, State } from '../core/state.js';
+import { isUp, type Job, type Live, type Machine, type State } from '../core/state.js';
 import type { Cause, Command, Entry, JobId, MachineId, Steady, Term, WorkerReport } from '../core/types.js';
 import type { Clock } from '../io/clock.js';
 import type { HttpCall } from '../io/http-client.js';
@@ -55,8 +55,7 @@
   /** Every live worker has reported to us, or one report period has passed. */
   settled(): boolean {
     if (this.clock.steady() - this.since > this.reportS * 1250 + 500) return true;
-    for (const m of this.state.machines.values())
-      if (m.session > 0 && !m.drop && !this.known.get(m.id)?.ours) return false;
+    for (const m of this.state.machines.values()) if (isUp(m) && !this.known.get(m.id)?.ours) return false;
     return true;
   }
 
@@ -68,8 +67,7 @@
   usable(m: Machine): boolean {
     const k = this.known.get(m.id);
     return (
-      m.session > 0 &&
-      !m.drop &&
+      isUp(m) &&
       m.errors < 2 &&
       k !== undefined &&
       k.report.session === m.session &&
@@ -86,7 +84,7 @@
   deaf(ms: number): boolean {
     if (this.clock.steady() - this.since < ms) return false;
     let up = 0;
-    for (const m of this.state.machines.values()) if (m.session > 0 && !m.drop) up++;
+    for (const m of this.state.machines.values()) if (isUp(m)) up++;
     return up >= 2 && this.heard(ms) === 0;
   }
 
@@ -270,7 +268,7 @@
     const now = this.clock.steady();
     if (now - this.since > 1500 && now - this.since < 12_000 && this.certain())
       for (const m of this.state.machines.values()) {
-        if (m.session === 0 || m.drop || !m.addr || this.known.get(m.id)?.ours) continue;
+        if (!isUp(m) || !m.addr || this.known.get(m.id)?.ours) continue;
         if (this.introducing.has(m.id)) continue;
         this.introducing.add(m.id);
         void this.call(m.addr, 'POST', '/orders', writeDirect(this.term, m.session, []), DIRECT_MS).then(
--- a/src/cli/jobs.ts
+++ b/src/cli/jobs.ts
@@ -1,10 +1,9 @@
 import { readFileSync } from 'node:fs';
-import { inflateSync } from 'node:zlib';
 import type { Command } from 'commander';
-import { State } from '../core/state.js';
+import { unpack } from '../actors/snapshot.js';
 import type { LogRecord } from '../core/types.js';
 import { httpCaller, type HttpAnswer } from '../io/http-client.js';
-import { CHUNKS, HEAD, LEADER, RECORDS, ROOT, TERM, recordOf, type HeadValue } from '../wire/keys.js';
+import { HEAD, LEADER, RECORDS, ROOT, TERM, recordOf, type HeadValue } from '../wire/keys.js';
 import type { Settings } from '../wire/settings.js';
 import { Store } from '../wire/store.js';
 
@@ -68,13 +67,7 @@
   const records = all.items
     .filter((i) => i.key.startsWith(RECORDS))
     .map((i) => ({ no: recordOf(i.key), ...(i.value as LogRecord) }));
-  let folded: State | null = null;
-  if (head) {
-    const parts = all.items.filter((i) => i.key.startsWith(CHUNKS) && i.key.includes(String(head.upto)));
-    folded = State.load(
-      JSON.parse(inflateSync(Buffer.from(parts.map((p) => p.value as string).join(''), 'base64')).toString()),
-    );
-  }
+  const folded = head ? unpack(at, head) : null;
   if (json) {
     const snapshot = folded ? folded.dump() : null;
     process.stdout.write(
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -2,6 +2,7 @@
 import type { Live, Machine, State } from './state.js';
 import { avoids, fitsType } from './state.js';
 import type { Entry, MachineId, MachineType, Wall } from './types.js';
+import { add, fits, type Resources } from './resources.js';
 import type { Policy } from './policy.js';
 import { EPS, rank } from './types.js';
 
@@ -15,7 +16,7 @@
   nextName: () => string;
   /** Machines that take work, and the room this round leaves on each. */
   usable: Machine[];
-  room: (m: Machine) => { cpus: number; gpus: number; mem: number };
+  room: PlacementResult['room'];
   /** Seconds until a task is likely to be over. */
   remaining: (l: Live) => number;
   /** Seconds without a report. */
@@ -27,13 +28,10 @@
   bootMost: (t: MachineType | undefined) => number;
 }
 
-interface Bin {
+interface Bin extends Resources {
   type: MachineType;
   zone: string;
   spot: boolean;
-  cpus: number;
-  gpus: number;
-  mem: number;
   isNew: boolean;
   /** A machine at work whose tasks will be over before a new one could be up. */
   soon: MachineId | null;
@@ -63,12 +61,7 @@
     const t = state.types.get(m.type);
     if (!t) continue;
     const r = input.room(m);
-    for (const l of m.live)
-      if (input.remaining(l) < Math.min(t.boot, 20)) {
-        r.cpus += l.job.spec.cpus;
-        r.gpus += l.job.spec.gpus;
-        r.mem += l.job.spec.mem;
-      }
+    for (const l of m.live) if (input.remaining(l) < Math.min(t.boot, 20)) add(r, l.job.spec);
     if (r.cpus > EPS) bins.push({ type: t, zone: m.zone, spot: m.spot, ...r, isNew: false, soon: m.id });
   }
   const zoneOf = new Map<string, string>();
@@ -80,9 +73,7 @@
       const fit = bins.find(
         (b) =>
           (b.soon === null || (rank[s.priority] < rank.high && !avoids(job, b.soon))) &&
-          b.cpus + EPS >= s.cpus &&
-          b.gpus + EPS >= s.gpus &&
-          b.mem + EPS >= s.mem &&
+          fits(b, s) &&
           allowed(job, { type: b.type.name, zone: b.zone, spot: b.spot }) &&
           (z === undefined || b.zone === z),
       );
@@ -120,9 +111,7 @@
           Math.floor((b.mem + EPS) / Math.max(s.mem, EPS)),
         ),
       );
-      b.cpus -= n * s.cpus;
-      b.gpus -= n * s.gpus;
-      b.mem -= n * s.mem;
+      add(b, s, -n);
       left -= n;
     }
   }
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -1,5 +1,6 @@
 import { avoids, type Job, type Machine, type State } from './state.js';
 import type { Entry, MachineId, Team, Wall } from './types.js';
+import { add, fits, plus, type Resources } from './resources.js';
 import { EPS, rank } from './types.js';
 
 export interface Random {
@@ -7,8 +8,14 @@
   below(n: number): number;
 }
 
+export interface Claim {
+  job: Job;
+  guaranteed: boolean;
+}
+
 export interface PlacementInput {
   state: State;
+  claims: readonly Claim[];
   teams: readonly Team[];
   now: Wall;
   random: Random;
@@ -17,8 +24,6 @@
   usable: Machine[];
   /** At most this many starts in one round. */
   most: number;
-  /** Jobs that will miss their aim whatever is done now. */
-  hopeless?: (j: Job) => boolean;
 }
 
 export interface PlacementResult {
@@ -26,14 +31,13 @@
   starts: number;
   /** Tasks that found no room, job by job in order of claim. */
   unplaced: { job: Job; tasks: number; guaranteed: boolean }[];
-  room: (m: Machine) => { cpus: number; gpus: number; mem: number };
+  room: (m: Machine) => Resources;
+  /** What tasks that are being stopped will add to it. */
+  soon: (m: Machine) => Resources;
 }
 
-interface Room {
+interface Room extends Resources {
   m: Machine;
-  cpus: number;
-  gpus: number;
-  mem: number;
   /** Images that this round's own placements bring here. */
   coming: Set<string>;
   /** GB a second. */
@@ -42,7 +46,7 @@
   /** Something runs here, or will after this round. */
   awake: boolean;
   /** What tasks that are being stopped will leave. */
-  soon: { cpus: number; gpus: number; mem: number };
+  soon: Resources;
 }
 
 const hasImage = (r: Room, j: Job): boolean => r.m.images.has(j.spec.image) || r.coming.has(j.spec.image);
@@ -54,10 +58,11 @@
 export function claims(
   state: State,
   teams: readonly Team[],
-  hopeless: (j: Job) => boolean = () => false,
-): { job: Job; guaranteed: boolean }[] {
+  /** Jobs that will miss their aim whatever is done now. */
+  hopeless: (j: Job) => boolean,
+): Claim[] {
   const sum = new Map<string, { cpus: number; gpus: number }>();
-  const out: { job: Job; guaranteed: boolean }[] = [];
+  const out: Claim[] = [];
   for (const job of [...state.jobs.values()].sort((a, b) => a.order - b.order)) {
     if (job.withdrawn || state.finals.has(job.spec.id)) continue;
     const team = teams.find((t) => t.name === job.spec.team);
@@ -86,9 +91,6 @@
   return Math.max(0, Math.min(c, g));
 }
 
-const fits = (r: Room, j: Job): boolean =>
-  r.cpus + EPS >= j.spec.cpus && r.gpus + EPS >= j.spec.gpus && r.mem + EPS >= j.spec.mem;
-
 /** Guards wrong_place: type, zone and kind of machine. */
 export const allowed = (j: Job, m: { type: string; zone: string; spot: boolean }): boolean =>
   (!j.spec.types || j.spec.types.includes(m.type)) &&
@@ -109,7 +111,7 @@
   let b: Room | null = null;
   let bs = Infinity;
   for (const r of rooms) {
-    if (!fits(r, j)) continue;
+    if (!fits(r, j.spec)) continue;
     const s = score(r, j);
     if (s < bs) [b, bs] = [r, s];
   }
@@ -122,24 +124,14 @@
   if (s.spread) return 0;
   const taken: Room[] = [];
   for (const r of open) {
-    const fitsSoon = (): boolean =>
-      r.cpus + r.soon.cpus + EPS >= s.cpus &&
-      r.gpus + r.soon.gpus + EPS >= s.gpus &&
-      r.mem + r.soon.mem + EPS >= s.mem;
-    while (taken.length < tasks && r.soon.cpus > EPS && fitsSoon()) {
+    while (taken.length < tasks && r.soon.cpus > EPS && fits(plus(r, r.soon), s)) {
       if (s.oneZone && taken.length > 0 && taken[0]!.m.zone !== r.m.zone) break;
-      r.cpus -= s.cpus;
-      r.gpus -= s.gpus;
-      r.mem -= s.mem;
+      add(r, s, -1);
       taken.push(r);
     }
   }
   if (s.gang && taken.length < tasks) {
-    for (const r of taken) {
-      r.cpus += s.cpus;
-      r.gpus += s.gpus;
-      r.mem += s.mem;
-    }
+    for (const r of taken) add(r, s);
     return 0;
   }
   return taken.length;
@@ -153,12 +145,7 @@
     const t = state.types.get(m.type);
     if (!t) continue;
     const soon = { cpus: 0, gpus: 0, mem: 0 };
-    for (const l of m.live)
-      if (l.stop) {
-        soon.cpus += l.job.spec.cpus;
-        soon.gpus += l.job.spec.gpus;
-        soon.mem += l.job.spec.mem;
-      }
+    for (const l of m.live) if (l.stop) add(soon, l.job.spec);
     rooms.push({
       m,
       cpus: t.cpus - m.cpus,
@@ -176,7 +163,7 @@
   const unplaced: PlacementResult['unplaced'] = [];
   let starts = 0;
 
-  for (const { job, guaranteed } of claims(state, teams, input.hopeless)) {
+  for (const { job, guaranteed } of input.claims) {
     const spec = job.spec;
     let want = state.waitingCount(job);
     if (want === 0 || job.notBefore > now) continue;
@@ -201,7 +188,7 @@
       if (zones.length > 1) {
         const roomIn = (z: string | null): number =>
           open
-            .filter((r) => r.m.zone === z && fits(r, job))
+            .filter((r) => r.m.zone === z && fits(r, job.spec))
             .reduce((a, r) => a + score(r, job) * -1 + 2000, 0);
         zones.sort((a, b) => roomIn(b) - roomIn(a));
       }
@@ -220,18 +207,16 @@
         let r: Room | null = null;
         // Like tasks go where the last one went while there is room: one decision for the class.
         const last = taken[taken.length - 1];
-        if (last && !spec.spread && fits(last, job)) r = last;
+        if (last && !spec.spread && fits(last, job.spec)) r = last;
         if (!r && usable.length > sample) {
           const few = Array.from({ length: sample }, () => usable[random.below(usable.length)]!);
           const c = best(few, job);
           // A sampled machine without the image only does when none has it.
-          if (c && (hasImage(c, job) || !usable.some((x) => hasImage(x, job) && fits(x, job)))) r = c;
+          if (c && (hasImage(c, job) || !usable.some((x) => hasImage(x, job) && fits(x, job.spec)))) r = c;
         }
         r ??= best(usable, job);
         if (!r) break;
-        r.cpus -= spec.cpus;
-        r.gpus -= spec.gpus;
-        r.mem -= spec.mem;
+        add(r, spec, -1);
         r.coming.add(spec.image);
         r.awake = true;
         taken.push(r);
@@ -240,11 +225,7 @@
       }
       // A gang goes whole or not at all; a one-zone array takes the zone that has room.
       if (placed.length === tasks.length || (!spec.gang && placed.length > 0)) break;
-      for (const r of taken) {
-        r.cpus += spec.cpus;
-        r.gpus += spec.gpus;
-        r.mem += spec.mem;
-      }
+      for (const r of taken) add(r, spec);
       placed = [];
     }
     if (placed.length > 0) {
@@ -260,9 +241,12 @@
     if (left > kept) unplaced.push({ job, tasks: left - kept, guaranteed });
   }
   const left = new Map(rooms.map((r) => [r.m, r]));
-  const room = (m: Machine): { cpus: number; gpus: number; mem: number } => {
-    const r = left.get(m);
-    return r ? { cpus: r.cpus, gpus: r.gpus, mem: r.mem } : { cpus: 0, gpus: 0, mem: 0 };
+  const none = { cpus: 0, gpus: 0, mem: 0 };
+  return {
+    entries,
+    starts,
+    unplaced,
+    room: (m) => plus(left.get(m) ?? none, none),
+    soon: (m) => left.get(m)?.soon ?? none,
   };
-  return { entries, starts, unplaced, room };
 }
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -1,20 +1,22 @@
-import { allowed, claims, type PlacementResult } from './placement.js';
+import { allowed, type Claim, type PlacementResult } from './placement.js';
+import { add, fits, plus, type Resources } from './resources.js';
 import { avoids, type Job, type Live, type Machine, type State } from './state.js';
 import type { Entry, Team } from './types.js';
 import { EPS, rank } from './types.js';
 
 export interface PreemptionInput {
   state: State;
+  claims: readonly Claim[];
   teams: readonly Team[];
   usable: Machine[];
   unplaced: PlacementResult['unplaced'];
   /** Rooms as this round's own starts leave them. */
-  room: (m: Machine) => { cpus: number; gpus: number; mem: number };
+  room: PlacementResult['room'];
+  soon: PlacementResult['soon'];
   /** Seconds since the task was first shown running; null before that. */
   ran: (l: Live) => number | null;
   /** Only claims of at least this rank stop the work of a lower one. */
   least: number;
-  hopeless?: (j: Job) => boolean;
 }
 
 export interface PreemptionResult {
@@ -23,11 +25,8 @@
   unplaced: PlacementResult['unplaced'];
 }
 
-interface Soon {
+interface Soon extends Resources {
   m: Machine;
-  cpus: number;
-  gpus: number;
-  mem: number;
 }
 
 /** What stopping a task throws away, in seconds of a CPU. */
@@ -46,9 +45,7 @@
 export function preempt(input: PreemptionInput): PreemptionResult {
   const { state, teams } = input;
   const order = new Map<Job, { at: number; guaranteed: boolean }>();
-  claims(state, teams, input.hopeless).forEach((c, i) =>
-    order.set(c.job, { at: i, guaranteed: c.guaranteed }),
-  );
+  input.claims.forEach((c, i) => order.set(c.job, { at: i, guaranteed: c.guaranteed }));
   const over = (job: Job): boolean => {
     const t = teams.find((x) => x.name === job.spec.team);
     const u = state.teamUse.get(job.spec.team);
@@ -62,26 +59,10 @@
       return true;
     return guaranteed && !b.guaranteed && v.spec.team !== job.spec.team && over(v);
   };
-  const soon: Soon[] = input.usable.map((m) => {
-    const r = input.room(m);
-    for (const l of m.live)
-      if (l.stop) {
-        r.cpus += l.job.spec.cpus;
-        r.gpus += l.job.spec.gpus;
-        r.mem += l.job.spec.mem;
-      }
-    return { m, ...r };
-  });
+  const soon: Soon[] = input.usable.map((m) => ({ m, ...plus(input.room(m), input.soon(m)) }));
   const victims = new Map<Job, Set<number>>();
   const chosen = new Set<Live>();
   const left: PlacementResult['unplaced'] = [];
-  const fits = (r: Soon, j: Job): boolean =>
-    r.cpus + EPS >= j.spec.cpus && r.gpus + EPS >= j.spec.gpus && r.mem + EPS >= j.spec.mem;
-  const take = (r: Soon, j: Job): void => {
-    r.cpus -= j.spec.cpus;
-    r.gpus -= j.spec.gpus;
-    r.mem -= j.spec.mem;
-  };
 
   for (const u of input.unplaced) {
     const { job } = u;
@@ -95,7 +76,7 @@
       const pool = zone === null ? open : open.filter((r) => r.m.zone === zone);
       let best: { r: Soon; v: Live[]; cost: number } | null = null;
       for (const r of pool) {
-        if (fits(r, job)) {
+        if (fits(r, s)) {
           best = { r, v: [], cost: 0 };
           break;
         }
@@ -104,27 +85,23 @@
           .filter((l) => !l.stop && !chosen.has(l) && may(job, u.guaranteed, l.job))
           .map((l) => ({ l, cost: loss(l, input.ran(l)) }))
           .sort((a, b) => a.cost / a.l.job.spec.cpus - b.cost / b.l.job.spec.cpus);
-        const got = { m: r.m, cpus: r.cpus, gpus: r.gpus, mem: r.mem };
+        const got = { cpus: r.cpus, gpus: r.gpus, mem: r.mem };
         const v: Live[] = [];
         let cost = r.m.images.has(s.image) ? 0 : s.cpus * 4;
         for (const x of stoppable) {
-          if (fits(got, job)) break;
+          if (fits(got, s)) break;
           v.push(x.l);
           cost += x.cost;
-          got.cpus += x.l.job.spec.cpus;
-          got.gpus += x.l.job.spec.gpus;
-          got.mem += x.l.job.spec.mem;
+          add(got, x.l.job.spec);
         }
-        if (fits(got, job) && (!best || cost < best.cost)) best = { r, v, cost };
+        if (fits(got, s) && (!best || cost < best.cost)) best = { r, v, cost };
       }
       if (!best) break;
       for (const l of best.v) {
         chosen.add(l);
-        best.r.cpus += l.job.spec.cpus;
-        best.r.gpus += l.job.spec.gpus;
-        best.r.mem += l.job.spec.mem;
+        add(best.r, l.job.spec);
       }
-      take(best.r, job);
+      add(best.r, s, -1);
       picks.push(best);
       if (s.oneZone) zone ??= best.r.m.zone;
       missing--;
@@ -132,14 +109,10 @@
     if (missing > 0 && s.gang) {
       // Half a gang is none: what was taken for it is given back.
       for (const p of picks) {
-        p.r.cpus += s.cpus;
-        p.r.gpus += s.gpus;
-        p.r.mem += s.mem;
+        add(p.r, s);
         for (const l of p.v) {
           chosen.delete(l);
-          p.r.cpus -= l.job.spec.cpus;
-          p.r.gpus -= l.job.spec.gpus;
-          p.r.mem -= l.job.spec.mem;
+          add(p.r, l.job.spec, -1);
         }
       }
       left.push(u);
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -233,7 +233,7 @@
   private start(id: JobId, task: number, attempt: Attempt, mid: MachineId, at: Wall): void {
     const job = this.jobs.get(id);
     const m = this.machines.get(mid);
-    if (!job || !m || m.session === 0 || m.drop || !this.startable(job, task, attempt)) return;
+    if (!job || !m || !isUp(m) || !this.startable(job, task, attempt)) return;
     const l: Live = { job, task, attempt, machine: m, session: m.session, at, stop: null };
     job.live.set(task, l);
     if (!job.spec.gang) {
@@ -406,6 +406,9 @@
   }
 }
 
+/** Its worker has reported, and it is not to be given back. */
+export const isUp = (m: Machine): boolean => m.session > 0 && m.drop === null;
+
 /** From here on the failures are taken to be the job's own. */
 const FAILS_ANYWHERE = 3;
 
--- a/test/preemption.test.ts
+++ b/test/preemption.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { place } from '../src/core/placement.js';
+import { claims, place } from '../src/core/placement.js';
 import { preempt } from '../src/core/preemption.js';
 import { State } from '../src/core/state.js';
 import type { Entry, JobSpec, MachineId, Wall } from '../src/core/types.js';
@@ -43,7 +43,9 @@
   write(entries);
   const round = () => {
     const usable = [...state.machines.values()];
+    const order = claims(state, teams, () => false);
     const placed = place({
+      claims: order,
       state,
       teams,
       now: 1e6 as Wall,
@@ -53,11 +55,13 @@
       most: 100,
     });
     const p = preempt({
+      claims: order,
       state,
       teams,
       usable,
       unplaced: placed.unplaced,
       room: placed.room,
+      soon: placed.soon,
       ran: () => 60,
       least: rank.high,
     });
