--- a/src/actors/admission.ts
+++ b/src/actors/admission.ts
@@ -128,6 +128,7 @@
     this.open.set(key, list);
     this.log.tell({
       entries: [entry],
+      urgent: true,
       done: (ok) => {
         this.open.delete(key);
         for (const d of list) d(ok);
--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -17,7 +17,7 @@
 import { CloudActor } from './cloud.js';
 import type { Held, Lock } from './lock.js';
 import { LogActor } from './log.js';
-import { pack } from './snapshot.js';
+import { pack, type Deflate } from './snapshot.js';
 import { WorkersActor } from './workers.js';
 
 export interface LeaderPorts {
@@ -30,11 +30,14 @@
   settings: Settings;
   policy: Policy;
   measure: Measure;
+  deflate: Deflate;
 }
 
 const ROUND_MS = 1000;
 const SAMPLE = 5;
 const FOLD_EVERY = 250;
+/** Starts of one round: about as many as the pen writes until the next. */
+const STARTS_MOST = 2500;
 
 type LeaderMessage = { t: 'round' };
 
@@ -50,9 +53,11 @@
   private deciding = false;
   private hires = 0;
   /** Records whose starts and stops no report has shown yet. */
-  private outstanding = new Map<RecordNo, Job[]>();
+  private outstanding = new Map<RecordNo, Live[]>();
   private folding = false;
   private soon = false;
+  private roundAt = -Infinity;
+  private roundMs = 0;
 
   constructor(
     private readonly ports: LeaderPorts,
@@ -70,17 +75,8 @@
     this.term = held.term;
     const certain = (): boolean => !this.stopped && lock.certain();
     this.stamp = held.stamp;
-    this.log = new LogActor(
-      state,
-      store,
-      lock,
-      clock,
-      c.state,
-      held.term,
-      held.stamp,
-      logger,
-      onDeposed,
-      (ms) => ports.measure('write', ms),
+    this.log = new LogActor(state, store, clock, c.state, held.term, held.stamp, logger, onDeposed, (ms) =>
+      ports.measure('write', ms),
     );
     this.workers = new WorkersActor(
       state,
@@ -89,6 +85,7 @@
       clock,
       held.term,
       c.workers.report_s,
+      c.workers.lease_s,
       certain,
       () => lock.uncertainFor(),
       () => this.hurry(),
@@ -113,7 +110,7 @@
     );
     this.cloud = new CloudActor(state, cloud, this.log, clock, c.cloud, certain, logger);
     this.log.committed.subscribe(({ no, record }) => this.committed(no, record));
-    const all = [...state.jobs.values()].filter((j) => j.live.size > 0);
+    const all = [...state.machines.values()].flatMap((m) => [...m.live]);
     if (all.length > 0) this.outstanding.set((state.next - 1) as RecordNo, all);
     this.tick();
   }
@@ -134,7 +131,9 @@
   private hurry(): void {
     if (this.soon || this.stopped) return;
     this.soon = true;
-    this.clock.after(200, () => {
+    // Rounds take a bounded share of the processor, however large the site.
+    const from = this.roundAt + this.roundMs * 5 - this.clock.steady();
+    this.clock.after(Math.min(ROUND_MS, Math.max(200, from)), () => {
       this.soon = false;
       this.tell({ t: 'round' });
     });
@@ -142,21 +141,26 @@
 
   private committed(no: RecordNo, record: LogRecord): void {
     const touched = new Set<MachineId>();
-    const jobs: Job[] = [];
+    const open: Live[] = [];
     let hurry = false;
     let cloud = false;
+    const add = (l: Live | undefined): void => {
+      if (!l) return;
+      open.push(l);
+      touched.add(l.machine.id);
+    };
     for (const e of record.entries) {
       if (e.e === 'start' || e.e === 'stop' || e.e === 'withdraw') {
         const job = this.state.jobs.get(e.job);
         if (!job) continue;
-        jobs.push(job);
-        if (e.e === 'start') for (const p of e.p) touched.add(p[2]);
-        else for (const l of job.live.values()) touched.add(l.machine.id);
+        if (e.e === 'start') for (const p of e.p) add(job.live.get(p[0]));
+        else if (e.e === 'stop') for (const t of e.p) add(job.live.get(t));
+        else for (const l of job.live.values()) add(l);
       }
       if (e.e === 'job' || e.e === 'up' || e.e === 'gone') hurry = true;
       if (e.e === 'hire' || e.e === 'drop') cloud = true;
     }
-    if (jobs.length > 0) this.outstanding.set(no, jobs);
+    if (open.length > 0) this.outstanding.set(no, open);
     if (touched.size > 0) this.workers.tell({ t: 'push', machines: touched });
     if (cloud) this.cloud.tell({ t: 'tick' });
     if (hurry) this.hurry();
@@ -164,13 +168,14 @@
 
   /** The last record whose commands the workers' reports all show. */
   private processedUpTo(): number {
-    for (const [no, jobs] of this.outstanding) {
-      const open = jobs.some((j) =>
-        [...j.live.values()].some(
-          (l) => !this.workers.shown(l) || (l.stop !== null && this.workers.startedAt(l) !== null),
-        ),
+    for (const [no, lives] of this.outstanding) {
+      const open = lives.filter(
+        (l) => l.job.live.get(l.task) === l && (l.stop !== null || !this.workers.shown(l)),
       );
-      if (open) return no - 1;
+      if (open.length > 0) {
+        this.outstanding.set(no, open);
+        return no - 1;
+      }
       this.outstanding.delete(no);
     }
     return this.state.next - 1;
@@ -206,7 +211,7 @@
       random: ports.random,
       sample: SAMPLE,
       usable,
-      most: 400,
+      most: STARTS_MOST,
     });
     entries.push(...placed.entries);
     const preempted = preempt({
@@ -224,6 +229,9 @@
     const up = [...state.machines.values()].filter(isUp);
     const quiet = up.filter((m) => this.workers.silent(m) > 6).length;
     const deaf = up.length >= 3 && quiet * 2 > up.length;
+    const heldIn = new Map<string, number>();
+    for (const m of state.machines.values())
+      heldIn.set(m.zone, (heldIn.get(m.zone) ?? 0) + (state.types.get(m.type)?.cpus ?? 0));
     const capacity: CapacityInput = {
       state,
       zones: ports.settings.cluster.zones,
@@ -240,6 +248,8 @@
       policy: ports.policy,
       silent: (m) => this.workers.silent(m),
       deaf,
+      unreachable: (m) => this.workers.unreachable(m),
+      held: (z) => heldIn.get(z) ?? 0,
       leaseS: ports.settings.cluster.workers.lease_s,
       bootMost: (t) => Math.max(60, (t?.boot ?? 30) * 3.5),
     };
@@ -248,22 +258,10 @@
     if (entries.length > 0 && upto > state.marked) entries.unshift({ e: 'mark', upto });
     if (entries.length > 0) {
       this.deciding = true;
-      let left = 0;
-      const parts: Entry[][] = [];
-      let size = 0;
-      for (const e of entries) {
-        const n = JSON.stringify(e).length;
-        if (parts.length === 0 || size + n > 6000) {
-          parts.push([]);
-          size = 0;
-        }
-        size += n;
-        parts[parts.length - 1]!.push(e);
-      }
-      left = parts.length;
-      for (const p of parts)
+      let left = entries.length;
+      for (const e of entries)
         this.log.tell({
-          entries: p,
+          entries: [e],
           done: () => {
             if (--left === 0) this.deciding = false;
           },
@@ -277,7 +275,9 @@
         'round',
       );
     }
-    ports.measure('round', this.clock.steady() - from);
+    this.roundAt = this.clock.steady();
+    this.roundMs = this.roundAt - from;
+    ports.measure('round', this.roundMs);
     if (this.clock.steady() - this.pulseAt > 10_000) {
       this.pulseAt = this.clock.steady();
       this.pulse(usable.length, preempted.unplaced);
@@ -343,40 +343,37 @@
     const limits = settings.cluster.state;
     const upto = this.state.next - 1;
     const old = this.head;
-    const size = Math.floor(limits.value_kb * 1024 - 64);
-    const pieces = pack(this.state, size);
+    const from = this.clock.steady();
+    const text = JSON.stringify(this.state.dump());
+    this.ports.measure('fold', this.clock.steady() - from);
+    const pieces = await pack(text, Math.floor(limits.value_kb * 1024 - 64), this.ports.deflate);
     const ops: Op[] = pieces.map((value, i) => ({ put: chunkKey(upto, i), value }));
-    const chunks = ops.length;
-    const head: HeadValue = { upto, chunks };
-    const most = Math.max(
-      1,
-      Math.min(limits.txn_ops, Math.floor(limits.write_rps * 0.25), Math.floor(60 / limits.value_kb)),
-    );
+    const head: HeadValue = { upto, chunks: ops.length };
+    const most = Math.max(1, Math.min(limits.txn_ops, this.log.spareMost));
     const write = async (part: Op[]): Promise<boolean> => {
       for (;;) {
         if (this.stopped) return false;
-        if (this.lock.certain()) {
+        if (this.lock.certain() && this.log.spare(part.length)) {
           const r = await store.txn([{ key: LEADER, stamp: this.stamp }], part);
-          if (r.r === 'done') break;
+          if (r.r === 'done') return true;
           if (r.r === 'failed') return false;
         }
-        await sleep(this.clock, 500);
+        await sleep(this.clock, 150);
       }
-      await sleep(this.clock, 1000);
-      return true;
     };
     const inParts = async (list: Op[], n: number): Promise<boolean> => {
       for (let i = 0; i < list.length; i += n) if (!(await write(list.slice(i, i + n)))) return false;
       return true;
     };
-    if (!(await inParts(ops, most)) || !(await write([{ put: HEAD, value: head }]))) return;
+    const bulky = Math.max(1, Math.min(most, Math.floor(60 / limits.value_kb)));
+    if (!(await inParts(ops, bulky)) || !(await write([{ put: HEAD, value: head }]))) return;
     this.head = head;
     const rest: Op[] = [];
     for (let n = old.upto + 1; n <= upto; n++) rest.push({ remove: recordKey(n) });
     for (let i = 0; i < old.chunks; i++) rest.push({ remove: chunkKey(old.upto, i) });
-    await inParts(rest, Math.max(1, Math.min(limits.txn_ops, Math.floor(limits.write_rps * 0.25))));
+    await inParts(rest, most);
     this.folding = false;
-    logger.info({ upto, chunks, bytes: pieces.join('').length }, 'folded');
+    logger.info({ upto, chunks: ops.length, bytes: text.length }, 'folded');
   }
 
   override stop(): void {
--- a/src/actors/log.ts
+++ b/src/actors/log.ts
@@ -1,34 +1,56 @@
 import { Subject } from 'rxjs';
 import type { State } from '../core/state.js';
-import type { Entry, LogRecord, RecordNo, Term } from '../core/types.js';
-import type { Clock } from '../io/clock.js';
+import type { Entry, LogRecord, RecordNo, Steady, Term } from '../core/types.js';
+import { sleep, type Cancel, type Clock } from '../io/clock.js';
 import type { Logger } from '../io/logger.js';
 import { LEADER, recordKey } from '../wire/keys.js';
 import type { Store } from '../wire/store.js';
 import { Actor } from './actor.js';
-import type { Lock } from './lock.js';
 
 export interface Append {
   entries: Entry[];
+  /** A user waits for it: it goes before the rest, and is not held back to be written with more. */
+  urgent?: boolean;
   done?: (ok: boolean) => void;
 }
 
-/** The leader's pen: group commits, one at a time, each guarded by the leader key's stamp. */
+/** What one leader uses of the state service's writes. */
+const SHARE = 0.85;
+/** Entries that nobody waits for are gathered for so long, as the paper's batches are. */
+const GATHER_MS = 100;
+/** A transaction's limit, less its guards and frame. */
+const TXN_BYTES = 60 * 1024;
+
+interface Waiting extends Append {
+  bytes: number;
+}
+interface Batch {
+  items: Waiting[];
+  record: LogRecord;
+}
+
+/**
+ * The leader's pen: group commits, one transaction at a time, each guarded by the leader key's
+ * stamp. A burst fills several records of one transaction.
+ */
 export class LogActor extends Actor<Append> {
-  private queue: Append[] = [];
+  private urgent: Waiting[] = [];
+  private queue: Waiting[] = [];
   private writing = false;
   private writingSince = 0;
   private lastStart = -Infinity;
   private tag = 0;
+  private tokens: number;
+  private tokensAt: Steady;
+  private cancelWait: Cancel | null = null;
   readonly committed = new Subject<{ no: RecordNo; record: LogRecord }>();
   readonly writes = { count: 0, ms: 0 };
 
   constructor(
     private readonly state: State,
     private readonly store: Store,
-    private readonly lock: Lock,
     private readonly clock: Clock,
-    private readonly limits: { write_rps: number; value_kb: number },
+    private readonly limits: { write_rps: number; value_kb: number; txn_ops: number },
     private readonly term: Term,
     private readonly stamp: number,
     private readonly log: Logger,
@@ -36,11 +58,37 @@
     private readonly measure: (ms: number) => void,
   ) {
     super();
+    this.tokens = this.burst;
+    this.tokensAt = clock.steady();
+  }
+
+  private get burst(): number {
+    return Math.max(1, Math.floor(this.limits.write_rps * 0.4));
+  }
+
+  private refill(): void {
+    const now = this.clock.steady();
+    const rate = (this.limits.write_rps * SHARE) / 1000;
+    this.tokens = Math.min(this.burst, this.tokens + (now - this.tokensAt) * rate);
+    this.tokensAt = now;
   }
 
-  /** Entries not yet in a record. */
+  /** Folding takes writes that the pen leaves over: never more than this at once. */
+  get spareMost(): number {
+    return Math.max(1, Math.floor(this.burst / 2));
+  }
+
+  /** Takes so many writes for folding, if enough are left for a burst of records. */
+  spare(n: number): boolean {
+    this.refill();
+    if (this.tokens < Math.min(this.burst, n + this.burst / 2)) return false;
+    this.tokens -= n;
+    return true;
+  }
+
+  /** Users' entries not yet in a record. */
   get pending(): number {
-    return this.queue.length + (this.writing ? 1 : 0);
+    return this.urgent.length;
   }
 
   /** How long the present write has gone unanswered. */
@@ -50,74 +98,100 @@
 
   protected receive(m: Append): void {
     if (m.entries.length === 0) return m.done?.(true);
-    this.queue.push(m);
+    const w = { ...m, bytes: Buffer.byteLength(JSON.stringify(m.entries)) };
+    (m.urgent ? this.urgent : this.queue).push(w);
     this.pump();
   }
 
   private pump(): void {
-    if (this.writing || this.stopped || this.queue.length === 0) return;
-    const gap = 1000 / (this.limits.write_rps * 0.35);
-    const wait = this.lastStart + gap - this.clock.steady();
-    this.writing = true;
-    this.writingSince = this.clock.steady() + Math.max(0, wait);
-    if (wait > 0) this.clock.after(wait, () => void this.write());
+    if (this.writing || this.stopped) return;
+    this.cancelWait?.();
+    this.cancelWait = null;
+    if (this.urgent.length + this.queue.length === 0) return;
+    const now = this.clock.steady();
+    this.refill();
+    const wait = Math.max(
+      ((1 - this.tokens) / (this.limits.write_rps * SHARE)) * 1000,
+      this.urgent.length > 0 ? 0 : this.lastStart + GATHER_MS - now,
+    );
+    if (wait > 0) this.cancelWait = this.clock.after(Math.ceil(wait), () => this.pump());
     else void this.write();
   }
 
-  private batch(): { items: Append[]; record: LogRecord } {
+  private batches(): Batch[] {
     const most = this.limits.value_kb * 1024 - 300;
-    const items: Append[] = [];
-    const entries: Entry[] = [];
-    let size = 0;
-    while (this.queue.length > 0) {
-      const n = Buffer.byteLength(JSON.stringify(this.queue[0]!.entries));
-      if (items.length > 0 && size + n > most) break;
-      size += n;
-      items.push(this.queue.shift()!);
-      entries.push(...items[items.length - 1]!.entries);
+    const records = Math.max(
+      1,
+      Math.min(
+        Math.floor(this.tokens),
+        this.limits.txn_ops,
+        Math.floor(TXN_BYTES / (this.limits.value_kb * 1024)),
+      ),
+    );
+    const all = [...this.urgent, ...this.queue];
+    const at = this.clock.wall();
+    const out: Batch[] = [];
+    let used = 0;
+    while (out.length < records && used < all.length) {
+      const items: Waiting[] = [];
+      let size = 0;
+      for (; used < all.length; used++) {
+        const w = all[used]!;
+        if (items.length > 0 && size + w.bytes > most) break;
+        size += w.bytes;
+        items.push(w);
+      }
+      const entries = items.flatMap((i) => i.entries);
+      out.push({ items, record: { term: this.term, tag: ++this.tag, at, entries } });
     }
-    return { items, record: { term: this.term, tag: ++this.tag, at: this.clock.wall(), entries } };
+    this.queue = all.slice(Math.max(used, this.urgent.length));
+    this.urgent = this.urgent.slice(used);
+    return out;
   }
 
   private async write(): Promise<void> {
     if (this.stopped) return;
-    const { items, record } = this.batch();
-    const no = this.state.next;
-    const key = recordKey(no);
+    this.writing = true;
+    const batches = this.batches();
+    const all = batches.flatMap((b) => b.items);
+    this.tokens -= batches.length;
+    const first = this.state.next;
+    const puts = batches.map((b, i) => ({ put: recordKey(first + i), value: b.record }));
     const from = this.clock.steady();
-    this.lastStart = from;
+    this.lastStart = this.writingSince = from;
     // What is being written is fixed until it is settled: a write without an answer is repeated
-    // as it is, and the guard on the absent key lets only one of the repeats through.
+    // as it is, and the guard on the absent keys lets only one of the repeats through.
     for (let settled = false; !settled;) {
-      if (this.stopped) return this.drop(items);
+      if (this.stopped) return this.drop(all);
       const r = await this.store.txn(
-        [
-          { key: LEADER, stamp: this.stamp },
-          { key, stamp: 0 },
-        ],
-        [{ put: key, value: record }],
+        [{ key: LEADER, stamp: this.stamp }, ...puts.map((p) => ({ key: p.put, stamp: 0 }))],
+        puts,
       );
-      if (this.stopped) return this.drop(items);
+      if (this.stopped) return this.drop(all);
       if (r.r === 'done') settled = true;
       else if (r.r === 'failed') {
-        const k = await this.store.get(key);
+        const k = await this.store.get(puts[0]!.put);
         const v = k?.value as LogRecord | undefined;
-        if (this.stopped) return this.drop(items);
-        if (v && v.term === this.term && v.tag === record.tag) settled = true;
+        if (this.stopped) return this.drop(all);
+        if (v && v.term === this.term && v.tag === batches[0]!.record.tag) settled = true;
         else if (k !== undefined) {
-          this.onDeposed(`record ${no} was refused (${r.keys.join(', ')})`);
-          return this.drop(items);
-        } else await new Promise<void>((ok) => void this.clock.after(100, ok));
-      } else await new Promise<void>((ok) => void this.clock.after(r.r === 'refused' ? 150 : 30, ok));
+          this.onDeposed(`record ${first} was refused (${r.keys.join(', ')})`);
+          return this.drop(all);
+        } else await sleep(this.clock, 100);
+      } else await sleep(this.clock, r.r === 'refused' ? 150 : 30);
     }
-    this.state.apply(no, record);
+    const took = this.clock.steady() - from;
     this.writes.count++;
-    this.writes.ms += this.clock.steady() - from;
-    this.measure(this.clock.steady() - from);
+    this.writes.ms += took;
+    this.measure(took);
+    for (const [i, { items, record }] of batches.entries()) {
+      const no = (first + i) as RecordNo;
+      this.state.apply(no, record);
+      for (const w of items) w.done?.(true);
+      this.committed.next({ no, record });
+      this.log.debug({ no, entries: record.entries.map((e) => e.e) }, 'record written');
+    }
     this.writing = false;
-    for (const i of items) i.done?.(true);
-    this.committed.next({ no, record });
-    this.log.debug({ no, entries: record.entries.map((e) => e.e) }, 'record written');
     this.pump();
   }
 
@@ -127,7 +201,9 @@
 
   override stop(): void {
     super.stop();
-    const q = this.queue;
+    this.cancelWait?.();
+    const q = [...this.urgent, ...this.queue];
+    this.urgent = [];
     this.queue = [];
     for (const i of q) i.done?.(false);
   }
--- a/src/actors/snapshot.ts
+++ b/src/actors/snapshot.ts
@@ -1,12 +1,15 @@
-import { deflateSync, inflateSync } from 'node:zlib';
+import { inflateSync } from 'node:zlib';
 import { State } from '../core/state.js';
 import { chunkKey, type HeadValue } from '../wire/keys.js';
 
-/** The state as text, packed, in pieces of at most so many characters. */
-export function pack(state: State, size: number): string[] {
-  const packed = deflateSync(JSON.stringify(state.dump())).toString('base64');
+/** Packs a text off the thread that renews the lock. */
+export type Deflate = (text: string) => Promise<Buffer>;
+
+/** A text packed, in pieces of at most so many characters. */
+export async function pack(text: string, size: number, deflate: Deflate): Promise<string[]> {
+  const all = (await deflate(text)).toString('base64');
   const chunks: string[] = [];
-  for (let i = 0; i < packed.length; i += size) chunks.push(packed.slice(i, i + size));
+  for (let i = 0; i < all.length; i += size) chunks.push(all.slice(i, i + size));
   return chunks;
 }
 
--- a/src/actors/workers.ts
+++ b/src/actors/workers.ts
@@ -16,15 +16,20 @@
 
 interface Known extends Seen {
   at: Steady;
+  /** When a report of it was last answered with a 200. */
+  answered: Steady;
   /** A direct message is on its way. */
   busy: boolean;
   again: boolean;
   /** This worker has seen our term, so nothing of an earlier one reaches it any more. */
   ours: boolean;
-  started: Map<string, Steady>;
+  /** Its sessions end though its reports arrive: our answers don't reach it. */
+  deaf: boolean;
 }
 
 const DIRECT_MS = 2000;
+/** Workers told of a new term at once: all of a large site would take a node's sockets. */
+const INTRODUCED_AT_ONCE = 150;
 /** How long reports are answered without a certain lock: longer than an outage should last. */
 const HOLD_MOST_MS = 60_000;
 
@@ -33,6 +38,10 @@
   private readonly known = new Map<MachineId, Known>();
   /** Facts told to the log and not yet in a record. */
   private readonly telling = new Set<string>();
+  /** Starts that their worker has shown to know. */
+  private readonly seen = new WeakSet<Live>();
+  /** When a task was first shown running to us, while it is. */
+  private readonly started = new WeakMap<Live, Steady>();
   private readonly since: Steady;
 
   constructor(
@@ -42,6 +51,7 @@
     private readonly clock: Clock,
     private readonly term: Term,
     private readonly reportS: number,
+    private readonly leaseS: number,
     private readonly certain: () => boolean,
     private readonly uncertainMs: () => number,
     private readonly onFact: () => void,
@@ -72,10 +82,16 @@
       k !== undefined &&
       k.report.session === m.session &&
       k.report.notice === null &&
+      !k.deaf &&
       this.clock.steady() - k.at < this.reportS * 1250 + 2000
     );
   }
 
+  /** Reports arrive, but nothing that is sent there does. */
+  unreachable(m: Machine): boolean {
+    return this.known.get(m.id)?.deaf === true;
+  }
+
   notice(m: Machine): number | null {
     return this.known.get(m.id)?.report.notice ?? null;
   }
@@ -103,16 +119,12 @@
 
   /** When a task was first shown running to us; null while it is not. */
   startedAt(l: Live): Steady | null {
-    return this.known.get(l.machine.id)?.started.get(attemptKey(l.job.spec.id, l.task, l.attempt)) ?? null;
+    return this.started.get(l) ?? null;
   }
 
-  /** Whether the worker has shown this attempt, or its stop, to be known to it. */
+  /** Whether the worker has shown this attempt to be known to it. */
   shown(l: Live): boolean {
-    const r = this.known.get(l.machine.id)?.report;
-    return (
-      r !== undefined &&
-      r.tasks.some((t) => t.job === l.job.spec.id && t.task === l.task && t.attempt === l.attempt)
-    );
+    return this.seen.has(l);
   }
 
   protected receive(m: WorkerMessage): void {
@@ -127,32 +139,40 @@
       return null;
     }
     let k = this.known.get(r.machine);
-    // Reports can be minutes late; an older one than the last says nothing new.
+    // Reports can be minutes late; an older one than the last says nothing new, and one from before
+    // a session that is in the log proves nobody alive, whoever led then.
     if (k && (r.session < k.report.session || (r.session === k.report.session && r.seq <= k.report.seq)))
       return k;
+    const logged = this.state.machines.get(r.machine)?.session ?? 0;
+    if (r.session < logged) return k ?? null;
     if (!k || r.session > k.report.session) {
+      const now = this.clock.steady();
       k = {
         report: r,
         at: k?.at ?? (-Infinity as Steady),
+        answered: k?.answered ?? (-Infinity as Steady),
         busy: k?.busy ?? false,
         again: false,
         ours: false,
         unsure: new Set(),
         sent: new Set(),
-        started: new Map(),
+        // Guards against placing work for ever on a machine that hears nothing: a session that ends
+        // while its reports were answered all along ends because the answers don't arrive.
+        deaf: k !== undefined && (k.deaf || now - k.answered < this.leaseS * 500),
       };
       this.known.set(r.machine, k);
     }
     k.report = r;
-    if (heard) k.at = this.clock.steady();
     if (r.term === this.term) k.ours = true;
-    const started = new Map<string, Steady>();
+    // A copy that is late by a term proves nothing: a live worker shows ours with its next report.
+    if (heard && (k.ours || r.session > logged)) k.at = this.clock.steady();
     for (const t of r.tasks) {
-      if (t.state !== 'running' && t.state !== 'saving') continue;
-      const key = attemptKey(t.job, t.task, t.attempt);
-      started.set(key, k.started.get(key) ?? this.clock.steady());
+      const l = this.state.jobs.get(t.job)?.live.get(t.task);
+      if (!l || l.attempt !== t.attempt || l.machine.id !== r.machine) continue;
+      this.seen.add(l);
+      if (t.state !== 'running' && t.state !== 'saving') this.started.delete(l);
+      else if (!this.started.has(l)) this.started.set(l, this.clock.steady());
     }
-    k.started = started;
     this.tellFacts(r);
     return k;
   }
@@ -192,6 +212,7 @@
     if (!k) return null;
     // Without a certain lock nothing is commanded; the answer only keeps the worker's lease.
     if (this.uncertainMs() > HOLD_MOST_MS) return null;
+    k.answered = this.clock.steady();
     if (!this.certain() || k.report !== r) return [];
     const { orders } = this.orders(k);
     for (const o of orders) if (o.op === 'start') k.sent.add(attemptKey(o.job, o.task, o.attempt));
@@ -263,17 +284,28 @@
   }
 
   private tick(): void {
-    for (const id of this.known.keys()) if (!this.state.machines.has(id)) this.known.delete(id);
+    let deaf = 0;
+    for (const [id, k] of this.known) {
+      if (!this.state.machines.has(id)) this.known.delete(id);
+      else if (k.deaf) deaf++;
+    }
+    // Where many hear nothing, it is this node that says nothing in time.
+    if (deaf > Math.max(3, this.known.size / 10)) for (const k of this.known.values()) k.deaf = false;
     // Workers still held by a former leader learn of the new term, and drop that one's answers.
     const now = this.clock.steady();
-    if (now - this.since > 1500 && now - this.since < 12_000 && this.certain())
+    let calls = INTRODUCED_AT_ONCE - this.introducing.size;
+    if (now - this.since > 2000 && now - this.since < 20_000 && this.certain())
       for (const m of this.state.machines.values()) {
+        if (calls <= 0) break;
         if (!isUp(m) || !m.addr || this.known.get(m.id)?.ours) continue;
         if (this.introducing.has(m.id)) continue;
         this.introducing.add(m.id);
+        calls--;
         void this.call(m.addr, 'POST', '/orders', writeDirect(this.term, m.session, []), DIRECT_MS).then(
           (a) => {
             if (this.stopped) return;
+            // Who was not reached is told again.
+            this.introducing.delete(m.id);
             const r = a ? readReport(a.body) : null;
             if (r && r.machine === m.id) this.take(r, false);
             else this.logger.debug({ machine: m.id }, 'worker not reached');
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,5 +1,7 @@
 import { randomInt, randomUUID } from 'node:crypto';
 import { readFileSync } from 'node:fs';
+import { promisify } from 'node:util';
+import { deflate } from 'node:zlib';
 import { Command } from 'commander';
 import pino from 'pino';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
@@ -58,6 +60,7 @@
       settings,
       policy,
       measure: metrics.measure,
+      deflate: promisify<string, Buffer>(deflate),
     },
     randomUUID(),
   );
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -1,10 +1,10 @@
-import { allowed, type PlacementResult } from './placement.js';
+import { allowed, slots, type PlacementResult } from './placement.js';
 import type { Live, Machine, State } from './state.js';
-import { avoids, fitsType } from './state.js';
+import { avoids, fitsType, onlyTypes } from './state.js';
 import type { Entry, MachineId, MachineType, Wall } from './types.js';
 import { add, fits, type Resources } from './resources.js';
 import type { Policy } from './policy.js';
-import { EPS, rank } from './types.js';
+import { rank } from './types.js';
 
 export interface CapacityInput {
   state: State;
@@ -17,10 +17,14 @@
   /** Machines that take work, and the room this round leaves on each. */
   usable: Machine[];
   room: PlacementResult['room'];
+  /** CPUs that are rented in a zone. */
+  held: (zone: string) => number;
   /** Seconds until a task is likely to be over. */
   remaining: (l: Live) => number;
   /** Seconds without a report. */
   silent: (m: Machine) => number;
+  /** Its reports arrive, but nothing that is sent to it does. */
+  unreachable: (m: Machine) => boolean;
   /** Most machines are silent at once. */
   deaf: boolean;
   leaseS: number;
@@ -28,6 +32,7 @@
   bootMost: (t: MachineType | undefined) => number;
 }
 
+/** So many equal places for work: machines on their way, to be rented, or soon free at work. */
 interface Bin extends Resources {
   type: MachineType;
   zone: string;
@@ -35,109 +40,167 @@
   isNew: boolean;
   /** A machine at work whose tasks will be over before a new one could be up. */
   soon: MachineId | null;
+  count: number;
 }
 
 const priceOf = (t: MachineType, spot: boolean): number => (spot ? t.spotPrice : t.price);
 
 /** What to rent for the tasks that found no room, machines on their way counted first. */
 export function rent(input: CapacityInput): Entry[] {
-  const { state, now } = input;
+  const { state, now, unplaced } = input;
+  if (unplaced.length === 0) return [];
   const bins: Bin[] = [];
-  const bin = (type: MachineType, zone: string, spot: boolean, isNew: boolean): Bin => {
-    const b = { type, zone, spot, cpus: type.cpus, gpus: type.gpus, mem: type.mem, isNew, soon: null };
-    bins.push(b);
+  const whole = new Map<string, Bin>();
+  const group = (type: MachineType, zone: string, spot: boolean, isNew: boolean, n = 1): Bin => {
+    const key = `${type.name}|${zone}|${spot}|${isNew}`;
+    let b = whole.get(key);
+    if (!b) {
+      b = { type, zone, spot, cpus: type.cpus, gpus: type.gpus, mem: type.mem, isNew, soon: null, count: 0 };
+      whole.set(key, b);
+      bins.push(b);
+    }
+    b.count += n;
     return b;
   };
   for (const m of state.machines.values()) {
     const t = state.types.get(m.type);
-    if (t && m.session === 0 && !m.drop && now - m.hiredAt < t.boot * 3000) bin(t, m.zone, m.spot, false);
+    if (t && m.session === 0 && !m.drop && now - m.hiredAt < t.boot * 3000) group(t, m.zone, m.spot, false);
   }
   for (const h of state.hires.values()) {
     const t = state.types.get(h.type);
-    if (t) for (let i = 0; i < h.n; i++) bin(t, h.zone, h.spot, false);
+    if (t) group(t, h.zone, h.spot, false, h.n);
   }
   // A place that comes free before a new machine could be up is better waited for.
+  const least: Resources = { cpus: Infinity, gpus: Infinity, mem: Infinity };
+  for (const { job } of unplaced)
+    for (const k of ['cpus', 'gpus', 'mem'] as const) least[k] = Math.min(least[k], job.spec[k]);
   for (const m of input.usable) {
     const t = state.types.get(m.type);
     if (!t) continue;
     const r = input.room(m);
     for (const l of m.live) if (input.remaining(l) < Math.min(t.boot, 20)) add(r, l.job.spec);
-    if (r.cpus > EPS) bins.push({ type: t, zone: m.zone, spot: m.spot, ...r, isNew: false, soon: m.id });
+    if (fits(r, least))
+      bins.push({ type: t, zone: m.zone, spot: m.spot, ...r, isNew: false, soon: m.id, count: 1 });
   }
-  const zoneOf = new Map<string, string>();
-  for (const { job, tasks } of input.unplaced) {
+  /** Puts up to so many tasks into equal bins; what is left of each stays for others. */
+  const fill = (b: Bin, s: Resources, n: number): number => {
+    const per = slots(b, s);
+    if (per === 0 || b.count === 0 || n === 0) return 0;
+    const split = (count: number, k: number): void => {
+      if (count === 0) return;
+      const rest = { ...b, count };
+      add(rest, s, -k);
+      b.count -= count;
+      bins.push(rest);
+    };
+    const full = Math.min(b.count, Math.floor(n / per));
+    split(full, per);
+    const odd = b.count > 0 ? n - full * per : 0;
+    if (odd > 0) split(1, Math.min(odd, per));
+    return Math.min(n, full * per + Math.max(0, odd));
+  };
+  const scarce = onlyTypes(state);
+  const rented = new Map<string, { of: Bin; n: number }>();
+  for (const { job, tasks, zone } of unplaced) {
     const s = job.spec;
     const types = [...state.types.values()].filter((t) => fitsType(s, t));
-    for (let left = tasks; left > 0;) {
-      const z = s.oneZone ? zoneOf.get(s.id) : undefined;
-      const fit = bins.find(
-        (b) =>
-          (b.soon === null || (rank[s.priority] < rank.high && !avoids(job, b.soon))) &&
-          fits(b, s) &&
-          allowed(job, { type: b.type.name, zone: b.zone, spot: b.spot }) &&
-          (z === undefined || b.zone === z),
-      );
-      let b = fit;
-      if (!b) {
-        let cost = Infinity;
-        let pick: { t: MachineType; zone: string; spot: boolean } | null = null;
-        for (const t of types)
-          for (const zone of t.zones) {
-            if (!input.zones.includes(zone) || (s.zone && zone !== s.zone) || (z !== undefined && zone !== z))
-              continue;
-            for (const spot of s.spot && input.policy.rentSpot(s) ? [true, false] : [false]) {
-              if (input.backoff(t.name, zone, spot)) continue;
-              const per = Math.max(
-                1,
-                Math.min(
-                  left,
-                  Math.floor((t.cpus + EPS) / Math.max(s.cpus, EPS)),
-                  Math.floor((t.mem + EPS) / Math.max(s.mem, EPS)),
-                ),
-              );
-              const c = (priceOf(t, spot) / per) * (1 + t.boot / 600);
-              if (c < cost) [cost, pick] = [c, { t, zone, spot }];
-            }
+    const waits = rank[s.priority] < rank.high;
+    const may = (b: Bin): boolean =>
+      b.count > 0 &&
+      (b.soon === null || (waits && !avoids(job, b.soon))) &&
+      fits(b, s) &&
+      allowed(job, { type: b.type.name, zone: b.zone, spot: b.spot });
+    const kinds = (z: string | null): { t: MachineType; zone: string; spot: boolean; c: number }[] => {
+      const out: { t: MachineType; zone: string; spot: boolean; c: number }[] = [];
+      for (const t of types)
+        for (const at of t.zones) {
+          if (!input.zones.includes(at) || (s.zone && at !== s.zone) || (z !== null && at !== z)) continue;
+          for (const spot of s.spot && input.policy.rentSpot(s) ? [true, false] : [false]) {
+            if (input.backoff(t.name, at, spot)) continue;
+            const per = Math.max(1, Math.min(tasks, slots(t, s)));
+            const c = (priceOf(t, spot) / per) * (1 + t.boot / 600);
+            // What only this type can hold should find some of it; a gang loses with any one of its
+            // machines what all of them did.
+            const wanted = !spot && types.length > 1 && scarce.has(t.name) ? 1.3 : 1;
+            out.push({ t, zone: at, spot, c: c * wanted * (spot && s.gang ? 1 + 0.15 * s.tasks : 1) });
           }
-        if (!pick) break;
-        b = bin(pick.t, pick.zone, pick.spot, true);
-      }
-      if (s.oneZone) zoneOf.set(s.id, b.zone);
-      const n = Math.max(
-        1,
-        Math.min(
-          left,
-          Math.floor((b.cpus + EPS) / Math.max(s.cpus, EPS)),
-          Math.floor((b.mem + EPS) / Math.max(s.mem, EPS)),
-        ),
-      );
-      add(b, s, -n);
-      left -= n;
+        }
+      return out.sort((a, b) => a.c - b.c);
+    };
+    let z: string | null = zone;
+    let left = tasks;
+    if (s.oneZone && z !== null && s.gang && job.live.size === 0 && kinds(z).length === 0) {
+      // Nothing more is to be had where the places are: the whole gang may do better elsewhere.
+      z = null;
+      left = s.tasks;
     }
+    if (s.oneZone && z === null) {
+      // All of one zone or nothing: the zone that has most of it on its way, if it can give the rest.
+      const on = new Map<string, number>();
+      for (const b of bins)
+        if (may(b)) on.set(b.zone, (on.get(b.zone) ?? 0) + Math.min(left, b.count * slots(b, s)));
+      const can = new Set(kinds(null).map((k) => k.zone));
+      const zones = [...new Set([...on.keys(), ...can])];
+      const worth = (x: string): number => {
+        const have = Math.min(left, on.get(x) ?? 0);
+        return have === left || can.has(x) ? have : -1;
+      };
+      // Equal zones share the load.
+      const by = zones.map((x) => ({ x, w: worth(x), r: input.held(x) }));
+      by.sort((a, b) => b.w - a.w || a.r - b.r);
+      if (by.length === 0 || by[0]!.w < 0) continue;
+      z = by[0]!.x;
+    }
+    for (let i = 0, n = bins.length; i < n && left > 0; i++) {
+      const b = bins[i]!;
+      if (may(b) && (z === null || b.zone === z)) left -= fill(b, s, left);
+    }
+    if (left === 0) continue;
+    const pick = kinds(z)[0];
+    if (!pick) continue;
+    const per = slots(pick.t, s);
+    const n = Math.ceil(left / per);
+    const b = group(pick.t, pick.zone, pick.spot, true, n);
+    fill(b, s, left);
+    const key = `${pick.t.name}|${pick.zone}|${pick.spot}`;
+    const r = rented.get(key) ?? { of: b, n: 0 };
+    r.n += n;
+    rented.set(key, r);
   }
-  const groups = new Map<string, { b: Bin; n: number }>();
-  for (const b of bins) {
-    if (!b.isNew) continue;
-    const k = `${b.type.name}|${b.zone}|${b.spot}`;
-    const g = groups.get(k) ?? { b, n: 0 };
-    g.n++;
-    groups.set(k, g);
-  }
-  return [...groups.values()].map(({ b, n }) => ({
-    e: 'hire',
-    name: input.nextName(),
-    type: b.type.name,
-    zone: b.zone,
-    spot: b.spot,
-    n: Math.min(n, 50),
-  }));
+  return [...rented.values()].flatMap(({ of: b, n }) => {
+    const out: Entry[] = [];
+    for (let left = Math.min(n, MOST_RENTED); left > 0; left -= 50)
+      out.push({
+        e: 'hire',
+        name: input.nextName(),
+        type: b.type.name,
+        zone: b.zone,
+        spot: b.spot,
+        n: Math.min(left, 50),
+      });
+    return out;
+  });
+}
+
+/** Of one type, zone and kind in one round: the answers say whether there are more. */
+const MOST_RENTED = 150;
+
+/** Cuts a list so that each piece fits a record. */
+export function pieces<T>(all: T[], size: number): T[][] {
+  const out: T[][] = [];
+  for (let i = 0; i < all.length; i += size) out.push(all.slice(i, i + size));
+  return out;
 }
 
 /** Machines to give back: silent, never up, set aside or idle for too long. */
 export function giveBack(input: CapacityInput): Entry[] {
   const { state, now } = input;
   const by = new Map<string, MachineId[]>();
-  const add = (why: string, m: Machine): void => void by.set(why, [...(by.get(why) ?? []), m.id]);
+  const add = (why: string, m: Machine): void => {
+    const of = by.get(why) ?? [];
+    by.set(why, of);
+    of.push(m.id);
+  };
   for (const m of state.machines.values()) {
     if (m.drop) continue;
     const of = { zone: m.zone, spot: m.spot, type: state.types.get(m.type) };
@@ -153,6 +216,7 @@
       : input.policy.silence(of);
     if (silent > most) add('silent', m);
     else if (m.errors >= 2) add('faulty', m);
+    else if (input.unreachable(m)) add('unreachable', m);
     else if (
       m.live.size === 0 &&
       now - m.hiredAt > 50_000 &&
@@ -160,5 +224,5 @@
     )
       add('idle', m);
   }
-  return [...by].map(([why, m]) => ({ e: 'drop', m, why }));
+  return [...by].flatMap(([why, all]) => pieces(all, 200).map((m): Entry => ({ e: 'drop', m, why })));
 }
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -1,4 +1,4 @@
-import { avoids, type Job, type Machine, type State } from './state.js';
+import { avoids, onlyTypes, type Job, type Machine, type State } from './state.js';
 import type { Entry, MachineId, Team, Wall } from './types.js';
 import { add, fits, plus, type Resources } from './resources.js';
 import { EPS, rank } from './types.js';
@@ -29,8 +29,8 @@
 export interface PlacementResult {
   entries: Entry[];
   starts: number;
-  /** Tasks that found no room, job by job in order of claim. */
-  unplaced: { job: Job; tasks: number; guaranteed: boolean }[];
+  /** Tasks that found no room, job by job in order of claim; zone: where the rest of a gang has places. */
+  unplaced: { job: Job; tasks: number; guaranteed: boolean; zone: string | null }[];
   room: (m: Machine) => Resources;
   /** What tasks that are being stopped will add to it. */
   soon: (m: Machine) => Resources;
@@ -43,6 +43,8 @@
   /** GB a second. */
   fetch: number;
   total: number;
+  /** Of a type that is the only one for some of the work. */
+  scarce: boolean;
   /** Something runs here, or will after this round. */
   awake: boolean;
   /** What tasks that are being stopped will leave. */
@@ -104,43 +106,127 @@
 const score = (r: Room, j: Job): number =>
   (hasImage(r, j) ? 0 : j.spec.imageGb / r.fetch) +
   (r.awake ? 0 : 12) +
-  (r.m.spot ? 0 : 4) +
+  // A gang loses with any one of its machines what all of them did.
+  (r.m.spot ? (j.spec.gang ? Math.min(j.spec.tasks, 12) : 0) : 4) +
+  // Room that only larger work needs is left to it.
+  (r.scarce && !j.spec.gang && !r.m.spot ? 15 : 0) +
   ((r.cpus - j.spec.cpus) / r.total) * 6;
 
-function best(rooms: Room[], j: Job): Room | null {
-  let b: Room | null = null;
-  let bs = Infinity;
-  for (const r of rooms) {
-    if (!fits(r, j.spec)) continue;
-    const s = score(r, j);
-    if (s < bs) [b, bs] = [r, s];
-  }
-  return b;
+/** How many like tasks a room holds. */
+export const slots = (r: Resources, s: Resources): number =>
+  Math.max(
+    0,
+    Math.floor(
+      Math.min(
+        s.cpus > 0 ? (r.cpus + EPS) / s.cpus : Infinity,
+        s.gpus > 0 ? (r.gpus + EPS) / s.gpus : Infinity,
+        s.mem > 0 ? (r.mem + EPS) / s.mem : Infinity,
+      ),
+    ),
+  );
+
+interface Share {
+  r: Room;
+  n: number;
 }
 
-/** Sets aside room that tasks are leaving; a gang's as a whole or not at all. */
-function reserve(open: Room[], job: Job, tasks: number): number {
+/**
+ * Finds room for n like tasks: as many as a machine holds are one decision. The best of a few
+ * sampled machines while they do; then all machines, ranked once for the whole class.
+ */
+function fill(
+  pool: Room[],
+  job: Job,
+  n: number,
+  sample: number,
+  random: Random,
+  /** How many more the zone may take. */
+  zoneLeft: (zone: string) => number,
+): Share[] {
   const s = job.spec;
-  if (s.spread) return 0;
-  const taken: Room[] = [];
-  for (const r of open) {
-    while (taken.length < tasks && r.soon.cpus > EPS && fits(plus(r, r.soon), s)) {
-      if (s.oneZone && taken.length > 0 && taken[0]!.m.zone !== r.m.zone) break;
-      add(r, s, -1);
-      taken.push(r);
+  const out: Share[] = [];
+  let left = n;
+  const put = (r: Room): void => {
+    const k = Math.min(left, slots(r, s), zoneLeft(r.m.zone) - taken(out, r.m.zone, s.spread));
+    if (k <= 0) return;
+    add(r, s, -k);
+    left -= k;
+    out.push({ r, n: k });
+  };
+  const warm = pool.some((r) => hasImage(r, job));
+  for (let misses = 0; left > 0 && misses < 2 && pool.length > sample;) {
+    let b: Room | null = null;
+    let bs = Infinity;
+    for (let i = 0; i < sample; i++) {
+      const r = pool[random.below(pool.length)]!;
+      if (!fits(r, s)) continue;
+      const c = score(r, job);
+      if (c < bs) [b, bs] = [r, c];
+    }
+    // A sampled machine without the image only does when none has it.
+    if (b && (hasImage(b, job) || !warm)) {
+      const was = left;
+      put(b);
+      if (left < was) continue;
     }
+    misses++;
   }
-  if (s.gang && taken.length < tasks) {
-    for (const r of taken) add(r, s);
-    return 0;
+  if (left === 0) return out;
+  const ranked = pool
+    .filter((r) => fits(r, s))
+    .map((r) => ({ r, c: score(r, job) }))
+    .sort((a, b) => a.c - b.c);
+  for (const { r } of ranked) {
+    if (left === 0) break;
+    put(r);
   }
-  return taken.length;
+  return out;
+}
+
+const taken = (shares: Share[], zone: string, counts: boolean): number =>
+  counts ? shares.reduce((a, x) => a + (x.r.m.zone === zone ? x.n : 0), 0) : 0;
+
+/**
+ * Sets aside room that tasks are leaving; a gang's as a whole or not at all, but for the places
+ * that are free already: those are held for the first gang that needs them, or it would starve
+ * behind small work that fills each of them as it comes free.
+ */
+function reserve(open: Room[], freeing: Room[], job: Job, tasks: number): { n: number; zone: string | null } {
+  const s = job.spec;
+  if (s.spread) return { n: 0, zone: null };
+  const take = (from: Room[], of: (r: Room) => Resources): Share[] => {
+    const shares: Share[] = [];
+    let left = tasks;
+    for (const r of from) {
+      if (left === 0) break;
+      if (s.oneZone && shares.length > 0 && shares[0]!.r.m.zone !== r.m.zone) continue;
+      const n = Math.min(left, slots(of(r), s));
+      if (n === 0) continue;
+      add(r, s, -n);
+      left -= n;
+      shares.push({ r, n });
+    }
+    return shares;
+  };
+  const sum = (x: Share[]): { n: number; zone: string | null } => ({
+    n: x.reduce((a, y) => a + y.n, 0),
+    zone: s.oneZone ? (x[0]?.r.m.zone ?? null) : null,
+  });
+  const shares = take(freeing, (r) => plus(r, r.soon));
+  if (!s.gang || sum(shares).n === tasks) return sum(shares);
+  for (const x of shares) add(x.r, s, x.n);
+  // The zone that already has most of what the gang needs.
+  const by = new Map<string, number>();
+  for (const r of open) by.set(r.m.zone, (by.get(r.m.zone) ?? 0) + slots(r, s));
+  const zone = [...by].sort((a, b) => b[1] - a[1])[0]?.[0];
+  return sum(take(s.oneZone ? open.filter((r) => r.m.zone === zone) : open, (r) => r));
 }
 
 /** One round of starts: best fit in a sample of machines, then in all of them. */
 export function place(input: PlacementInput): PlacementResult {
   const { state, teams, now, random, sample } = input;
   const rooms: Room[] = [];
+  const scarce = onlyTypes(state);
   for (const m of input.usable) {
     const t = state.types.get(m.type);
     if (!t) continue;
@@ -155,9 +241,15 @@
       soon,
       fetch: t.fetch,
       total: t.cpus,
+      scarce: scarce.has(t.name),
       awake: m.live.size > 0,
     });
   }
+  // Work follows what has room: on a busy day few machines do.
+  let some = rooms.filter((r) => r.cpus > EPS);
+  const freeing = rooms.filter((r) => r.soon.cpus > EPS);
+  /** Needs that found no machine at all this round, by where they may go. */
+  const noRoom = new Map<string, Resources[]>();
   const use = new Map([...state.teamUse].map(([k, v]) => [k, { ...v }]));
   const entries: Entry[] = [];
   const unplaced: PlacementResult['unplaced'] = [];
@@ -175,9 +267,16 @@
     want = Math.min(want, limit, Math.max(0, input.most - starts));
     if (want === 0 || (spec.gang && want < spec.tasks)) continue;
 
-    const open = rooms.filter((r) => allowed(job, r.m) && !avoids(job, r.m.id));
+    const where = `${spec.types?.join() ?? ''}|${spec.zone ?? ''}|${spec.spot}`;
+    const failed = noRoom.get(where) ?? [];
+    noRoom.set(where, failed);
+    const hopeless = failed.some((f) => fits(spec, f));
+    const mine = (r: Room): boolean => allowed(job, r.m) && !avoids(job, r.m.id);
+    const open = hopeless ? [] : some.filter((r) => fits(r, spec) && mine(r));
+    if (open.length === 0 && !hopeless && job.errorMachines.size === 0) failed.push(spec);
     const perZone = new Map<string, number>();
-    for (const l of job.live.values()) perZone.set(l.machine.zone, (perZone.get(l.machine.zone) ?? 0) + 1);
+    if (spec.oneZone || spec.spread)
+      for (const l of job.live.values()) perZone.set(l.machine.zone, (perZone.get(l.machine.zone) ?? 0) + 1);
     const zoneMost = spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
     // Guards wrong_place: tasks of a one-zone job stay with those that may still run.
     let zones: (string | null)[] = [null];
@@ -186,59 +285,44 @@
       if (held.length > 1) continue;
       zones = held.length === 1 ? held : [...new Set(open.map((r) => r.m.zone))];
       if (zones.length > 1) {
-        const roomIn = (z: string | null): number =>
-          open
-            .filter((r) => r.m.zone === z && fits(r, job.spec))
-            .reduce((a, r) => a + score(r, job) * -1 + 2000, 0);
-        zones.sort((a, b) => roomIn(b) - roomIn(a));
+        const roomIn = new Map<string | null, number>();
+        for (const r of open)
+          roomIn.set(r.m.zone, (roomIn.get(r.m.zone) ?? 0) + 2000 * slots(r, spec) - score(r, job));
+        zones.sort((a, b) => roomIn.get(b)! - roomIn.get(a)!);
       }
     }
-    const tasks: [number, number][] = spec.gang
-      ? Array.from({ length: spec.tasks }, (_, i) => [i, job.gangTry])
-      : state.waiting(job, want);
-    let placed: [number, number, MachineId][] = [];
+    let shares: Share[] = [];
     for (const zone of zones) {
       const pool = zone === null ? open : open.filter((r) => r.m.zone === zone);
-      const taken: Room[] = [];
-      const counts = new Map(perZone);
-      placed = [];
-      for (const [task, attempt] of tasks) {
-        const usable = spec.spread ? pool.filter((r) => (counts.get(r.m.zone) ?? 0) < zoneMost) : pool;
-        let r: Room | null = null;
-        // Like tasks go where the last one went while there is room: one decision for the class.
-        const last = taken[taken.length - 1];
-        if (last && !spec.spread && fits(last, job.spec)) r = last;
-        if (!r && usable.length > sample) {
-          const few = Array.from({ length: sample }, () => usable[random.below(usable.length)]!);
-          const c = best(few, job);
-          // A sampled machine without the image only does when none has it.
-          if (c && (hasImage(c, job) || !usable.some((x) => hasImage(x, job) && fits(x, job.spec)))) r = c;
-        }
-        r ??= best(usable, job);
-        if (!r) break;
-        add(r, spec, -1);
+      shares = fill(pool, job, want, sample, random, (z) => zoneMost - (perZone.get(z) ?? 0));
+      // A gang goes whole or not at all; a one-zone array takes the zone that has room.
+      if (shares.length > 0 && (!spec.gang || shares.reduce((a, x) => a + x.n, 0) === want)) break;
+      for (const x of shares) add(x.r, spec, x.n);
+      shares = [];
+    }
+    let placed = 0;
+    if (shares.length > 0) {
+      const tasks: [number, number][] = spec.gang
+        ? Array.from({ length: spec.tasks }, (_, i) => [i, job.gangTry])
+        : state.waiting(job, want);
+      const p: [number, number, MachineId][] = [];
+      for (const { r, n } of shares) {
         r.coming.add(spec.image);
         r.awake = true;
-        taken.push(r);
-        counts.set(r.m.zone, (counts.get(r.m.zone) ?? 0) + 1);
-        placed.push([task, attempt, r.m.id]);
+        for (let i = 0; i < n; i++) p.push([...tasks[placed++]!, r.m.id]);
       }
-      // A gang goes whole or not at all; a one-zone array takes the zone that has room.
-      if (placed.length === tasks.length || (!spec.gang && placed.length > 0)) break;
-      for (const r of taken) add(r, spec);
-      placed = [];
-    }
-    if (placed.length > 0) {
-      u.cpus += spec.cpus * placed.length;
-      u.gpus += spec.gpus * placed.length;
-      starts += placed.length;
-      for (let i = 0; i < placed.length; i += 100)
-        entries.push({ e: 'start', job: spec.id, p: placed.slice(i, i + 100) });
+      u.cpus += spec.cpus * placed;
+      u.gpus += spec.gpus * placed;
+      starts += placed;
+      for (let i = 0; i < p.length; i += 100)
+        entries.push({ e: 'start', job: spec.id, p: p.slice(i, i + 100) });
+      some = some.filter((r) => r.cpus > EPS);
     }
-    const left = tasks.length - placed.length;
+    const left = want - placed;
+    if (left === 0) continue;
     // Room that is being made for this claim is not left to a lesser one meanwhile.
-    const kept = left > 0 ? reserve(open, job, left) : 0;
-    if (left > kept) unplaced.push({ job, tasks: left - kept, guaranteed });
+    const held = reserve(spec.gang ? open : [], freeing.filter(mine), job, left);
+    if (left > held.n) unplaced.push({ job, tasks: left - held.n, guaranteed, zone: held.zone });
   }
   const left = new Map(rooms.map((r) => [r.m, r]));
   const none = { cpus: 0, gpus: 0, mem: 0 };
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -1,3 +1,4 @@
+import { pieces } from './capacity.js';
 import { allowed, type Claim, type PlacementResult } from './placement.js';
 import { add, fits, plus, type Resources } from './resources.js';
 import { avoids, type Job, type Live, type Machine, type State } from './state.js';
@@ -46,20 +47,21 @@
   const { state, teams } = input;
   const order = new Map<Job, { at: number; guaranteed: boolean }>();
   input.claims.forEach((c, i) => order.set(c.job, { at: i, guaranteed: c.guaranteed }));
-  const over = (job: Job): boolean => {
-    const t = teams.find((x) => x.name === job.spec.team);
-    const u = state.teamUse.get(job.spec.team);
-    return t !== undefined && u !== undefined && (u.cpus > t.cpus + EPS || u.gpus > t.gpus + EPS);
-  };
+  const beyond = new Set<string>();
+  for (const t of teams) {
+    const u = state.teamUse.get(t.name);
+    if (u && (u.cpus > t.cpus + EPS || u.gpus > t.gpus + EPS)) beyond.add(t.name);
+  }
   const may = (job: Job, guaranteed: boolean, v: Job): boolean => {
     const a = order.get(job);
     const b = order.get(v);
     if (!a || !b || b.at <= a.at || (v.spec.gang && v.spec.tasks > 1)) return false;
     if (rank[v.spec.priority] < rank[job.spec.priority] && rank[job.spec.priority] >= input.least)
       return true;
-    return guaranteed && !b.guaranteed && v.spec.team !== job.spec.team && over(v);
+    return guaranteed && !b.guaranteed && v.spec.team !== job.spec.team && beyond.has(v.spec.team);
   };
   const soon: Soon[] = input.usable.map((m) => ({ m, ...plus(input.room(m), input.soon(m)) }));
+  const running = input.claims.filter((c) => c.job.live.size > 0);
   const victims = new Map<Job, Set<number>>();
   const chosen = new Set<Live>();
   const left: PlacementResult['unplaced'] = [];
@@ -67,44 +69,54 @@
   for (const u of input.unplaced) {
     const { job } = u;
     const s = job.spec;
-    let zone: string | null = null;
-    for (const l of job.live.values()) if (s.oneZone) zone = l.machine.zone;
+    const lesser = new Set<Job>();
+    for (const c of running) if (may(job, u.guaranteed, c.job)) lesser.add(c.job);
+    let zone = u.zone;
+    if (s.oneZone) for (const l of job.live.values()) zone = l.machine.zone;
+    /** What must be stopped here for one more task; null when nothing that may be stopped helps. */
+    const cost = (r: Soon): { r: Soon; v: Live[]; cost: number } | null => {
+      if (fits(r, s)) return { r, v: [], cost: 0 };
+      if (s.spread || lesser.size === 0) return null;
+      const stoppable = [];
+      const got = { cpus: r.cpus, gpus: r.gpus, mem: r.mem };
+      for (const l of r.m.live) {
+        if (l.stop || !lesser.has(l.job) || chosen.has(l)) continue;
+        stoppable.push({ l, cost: loss(l, input.ran(l)) });
+        add(got, l.job.spec);
+      }
+      if (!fits(got, s)) return null;
+      stoppable.sort((a, b) => a.cost / a.l.job.spec.cpus - b.cost / b.l.job.spec.cpus);
+      Object.assign(got, { cpus: r.cpus, gpus: r.gpus, mem: r.mem });
+      const v: Live[] = [];
+      let sum = r.m.images.has(s.image) ? 0 : s.cpus * 4;
+      for (const x of stoppable) {
+        if (fits(got, s)) break;
+        v.push(x.l);
+        sum += x.cost;
+        add(got, x.l.job.spec);
+      }
+      return { r, v, cost: sum };
+    };
     let missing = u.tasks;
-    const picks: { r: Soon; v: Live[] }[] = [];
-    const open = soon.filter((r) => allowed(job, r.m) && !avoids(job, r.m.id));
-    while (missing > 0) {
-      const pool = zone === null ? open : open.filter((r) => r.m.zone === zone);
-      let best: { r: Soon; v: Live[]; cost: number } | null = null;
-      for (const r of pool) {
-        if (fits(r, s)) {
-          best = { r, v: [], cost: 0 };
-          break;
-        }
-        if (s.spread) continue;
-        const stoppable = [...r.m.live]
-          .filter((l) => !l.stop && !chosen.has(l) && may(job, u.guaranteed, l.job))
-          .map((l) => ({ l, cost: loss(l, input.ran(l)) }))
-          .sort((a, b) => a.cost / a.l.job.spec.cpus - b.cost / b.l.job.spec.cpus);
-        const got = { cpus: r.cpus, gpus: r.gpus, mem: r.mem };
-        const v: Live[] = [];
-        let cost = r.m.images.has(s.image) ? 0 : s.cpus * 4;
-        for (const x of stoppable) {
-          if (fits(got, s)) break;
-          v.push(x.l);
-          cost += x.cost;
-          add(got, x.l.job.spec);
+    const picks: { r: Soon; v: Live[]; cost: number }[] = [];
+    // Like tasks are one decision: all machines are ranked once for the job.
+    const ranked = soon
+      .filter((r) => allowed(job, r.m) && !avoids(job, r.m.id) && (zone === null || r.m.zone === zone))
+      .flatMap((r) => cost(r) ?? [])
+      .sort((a, b) => a.cost - b.cost);
+    for (const first of ranked) {
+      if (missing === 0) break;
+      if (s.oneZone && zone !== null && first.r.m.zone !== zone) continue;
+      for (let p: typeof first | null = first; p && missing > 0; p = cost(first.r)) {
+        for (const l of p.v) {
+          chosen.add(l);
+          add(p.r, l.job.spec);
         }
-        if (fits(got, s) && (!best || cost < best.cost)) best = { r, v, cost };
-      }
-      if (!best) break;
-      for (const l of best.v) {
-        chosen.add(l);
-        add(best.r, l.job.spec);
+        add(p.r, s, -1);
+        picks.push(p);
+        missing--;
+        if (s.oneZone) zone ??= p.r.m.zone;
       }
-      add(best.r, s, -1);
-      picks.push(best);
-      if (s.oneZone) zone ??= best.r.m.zone;
-      missing--;
     }
     if (missing > 0 && s.gang) {
       // Half a gang is none: what was taken for it is given back.
@@ -122,12 +134,14 @@
       for (const l of p.v) victims.set(l.job, (victims.get(l.job) ?? new Set()).add(l.task));
     if (missing > 0) left.push({ ...u, tasks: missing });
   }
-  const entries: Entry[] = [...victims].map(([job, tasks]) => ({
-    e: 'stop',
-    job: job.spec.id,
-    p: [...tasks],
-    grace: job.spec.checkpoint > 0 ? job.spec.save + 1 : 0,
-    why: 'preempted',
-  }));
+  const entries = [...victims].flatMap(([job, tasks]) =>
+    pieces([...tasks], 500).map((p): Entry => ({
+      e: 'stop',
+      job: job.spec.id,
+      p,
+      grace: job.spec.checkpoint > 0 ? job.spec.save + 1 : 0,
+      why: 'preempted',
+    })),
+  );
   return { entries, unplaced: left };
 }
--- a/src/core/recovery.ts
+++ b/src/core/recovery.ts
@@ -43,14 +43,16 @@
   const orders: Command[] = [];
   const unsent: Live[] = [];
   if (!m || m.session !== r.session) return { orders, unsent };
-  const shown = new Set<string>();
+  const shown = new Set<Live>();
   for (const t of r.tasks) {
-    const key = attemptKey(t.job, t.task, t.attempt);
-    shown.add(key);
     const l = state.jobs.get(t.job)?.live.get(t.task);
     const ours = l !== undefined && l.attempt === t.attempt && l.machine === m;
+    if (ours) shown.add(l);
+    // A report that shows nothing new costs no more than this.
+    if (ours && !l.stop && t.state !== 'exited') continue;
     const ref = { job: t.job, task: t.task, attempt: t.attempt };
     if (t.state === 'exited') {
+      const key = attemptKey(t.job, t.task, t.attempt);
       // Guards ran_twice: forgetting an attempt lets a late launch run it again, so the end is
       // recorded first, and no launch of it may still be on its way.
       if (!ours && !seen.unsure.has(key)) orders.push({ op: 'forget', ...ref });
@@ -58,10 +60,10 @@
     else if (l.stop && (t.state !== 'saving' || l.stop.grace === 0))
       orders.push({ op: 'stop', ...ref, grace: l.stop.grace });
   }
+  if (shown.size === m.live.size) return { orders, unsent };
   for (const l of m.live) {
-    if (l.session !== m.session) continue;
+    if (l.session !== m.session || shown.has(l)) continue;
     const key = attemptKey(l.job.spec.id, l.task, l.attempt);
-    if (shown.has(key)) continue;
     const ref = { job: l.job.spec.id, task: l.task, attempt: l.attempt };
     if (!l.stop) {
       if (mayStart && !m.drop) orders.push({ op: 'start', ...ref });
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -426,6 +426,18 @@
   );
 }
 
+/** Types that are the only one for some unfinished job, though others have a choice. */
+export function onlyTypes(state: State): Set<string> {
+  const out = new Set<string>();
+  if (state.types.size < 2) return out;
+  const types = [...state.types.values()];
+  for (const j of state.jobs.values()) {
+    const fit = types.filter((t) => fitsType(j.spec, t));
+    if (fit.length === 1) out.add(fit[0]!.name);
+  }
+  return out;
+}
+
 export type Refusal = { status: 422 | 503; reason: string };
 
 /** Why a job can never run, or can't be judged yet; null when it can be taken. */
--- a/src/io/server.ts
+++ b/src/io/server.ts
@@ -16,12 +16,40 @@
   json(res, r.status, r.body);
 };
 
-const json = (res: Response, status: number, body: object): void => {
+const json = (res: http.ServerResponse, status: number, body: object): void => {
   const text = JSON.stringify(body);
   res.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text) });
   res.end(text);
 };
 
+/** A worker's report, on Node's own server. */
+function hello(c: Controller, req: http.IncomingMessage, res: http.ServerResponse): void {
+  const parts: Buffer[] = [];
+  let size = 0;
+  req.on('data', (d: Buffer) => {
+    size += d.length;
+    if (size <= BODY_MOST) parts.push(d);
+  });
+  req.on('end', () => {
+    const r = size > BODY_MOST ? null : readReport(parse(parts));
+    if (!r) return json(res, 400, { error: 'malformed report' });
+    c.hello(r, (h) => {
+      if (h.answer === 'stay') json(res, 200, writeOrders(h.term, h.orders));
+      else json(res, 421, writeElsewhere(h.leader));
+    });
+  });
+}
+
+const BODY_MOST = 64 * 1024;
+
+function parse(parts: Buffer[]): unknown {
+  try {
+    return JSON.parse((parts.length === 1 ? parts[0]! : Buffer.concat(parts)).toString());
+  } catch {
+    return undefined;
+  }
+}
+
 /** The HTTP interface for users, workers and health checks. */
 export function server(c: Controller, metrics: () => object, logger: Logger, measure: Measure): http.Server {
   const app = express();
@@ -29,14 +57,6 @@
   app.disable('etag');
   const body = express.json({ limit: '64kb', type: () => true, strict: false });
 
-  app.post('/hello', body, (req, res) => {
-    const r = readReport(req.body);
-    if (!r) return json(res, 400, { error: 'malformed report' });
-    c.hello(r, (h) => {
-      if (h.answer === 'stay') json(res, 200, writeOrders(h.term, h.orders));
-      else json(res, 421, writeElsewhere(h.leader));
-    });
-  });
   app.get('/v1/jobs/:id', (req, res) => {
     const id = req.params.id;
     if (!jobIdForm.test(id)) return json(res, 404, { error: 'no such job' });
@@ -67,7 +87,11 @@
     json(res, 400, { error: e.message ?? 'malformed' });
   });
 
-  const s = http.createServer({ keepAliveTimeout: 120_000, noDelay: true }, app);
+  // Hundreds of reports a second would spend more in express than on what they say.
+  const s = http.createServer({ keepAliveTimeout: 120_000, noDelay: true }, (req, res) => {
+    if (req.url === '/hello' && req.method === 'POST') hello(c, req, res);
+    else app(req, res);
+  });
   s.requestTimeout = 15_000;
   return s;
 }
--- a/test/fakes/network.ts
+++ b/test/fakes/network.ts
@@ -11,6 +11,11 @@
 export class FakeNetwork {
   private readonly hosts = new Map<string, Handler>();
   private readonly cuts: { a: string; b: string; hold: boolean; until: number }[] = [];
+  /** Hosts that send but don't receive: no answer and no request reaches them. */
+  private readonly deaf = new Map<string, number>();
+  /** Share of workers' reports of which a copy comes late, at any node. */
+  copies = 0;
+
   constructor(
     readonly time: VirtualTime,
     private readonly random: () => number,
@@ -28,6 +33,21 @@
     this.cuts.push({ a, b, hold, until: this.time.now + ms });
   }
 
+  deafen(host: string, ms: number): void {
+    this.deaf.set(host, this.time.now + ms);
+  }
+
+  private hears(address: string): boolean {
+    return (this.deaf.get(address.replace(/:.*/, '')) ?? 0) <= this.time.now;
+  }
+
+  private copyLater(path: string, body: string | undefined): void {
+    if (path !== '/hello' || body === undefined || this.copies === 0 || this.random() >= this.copies) return;
+    this.time.after(1000 + this.random() * 40_000, () => {
+      for (const [a, h] of this.hosts) if (a.endsWith(':80')) void h('POST', path, JSON.parse(body));
+    });
+  }
+
   private cutBetween(x: string, y: string): { hold: boolean; until: number } | undefined {
     const is = (p: string, q: string): boolean => p === '*' || p === q;
     return this.cuts.find(
@@ -56,6 +76,8 @@
             if (cut.hold) this.time.after(cut.until - this.time.now + 1, arrive);
             return;
           }
+          if (!this.hears(address)) return;
+          this.copyLater(path, text);
           const h = this.hosts.get(address);
           if (!h) return void this.time.after(this.delay(), () => end(null));
           void Promise.resolve(h(method, path, text === undefined ? undefined : JSON.parse(text))).then(
@@ -63,7 +85,7 @@
               if (!a) return;
               const back = JSON.stringify(a.body);
               this.time.after(this.delay(), () => {
-                if (this.cutBetween(from, address)) return;
+                if (this.cutBetween(from, address) || !this.hears(from)) return;
                 end({ status: a.status, body: back === undefined ? undefined : JSON.parse(back) });
               });
             },
--- a/test/fakes/worker.ts
+++ b/test/fakes/worker.ts
@@ -72,18 +72,22 @@
   private leaseWatch(): void {
     this.w.time.after(100, () => {
       if (!this.alive) return;
-      if (this.w.time.now - (this.lastAnswered ?? this.began) > this.w.settings.lease_s * 1000) {
-        for (const t of this.tasks.values()) this.leave(t, false);
-        this.tasks.clear();
-        this.session++;
-        this.began = this.w.time.now;
-        this.lastAnswered = null;
-        this.changed();
-      }
+      if (this.w.time.now - (this.lastAnswered ?? this.began) > this.w.settings.lease_s * 1000)
+        this.nextSession();
       this.leaseWatch();
     });
   }
 
+  /** The lease is over, or the machine is back after a restart. */
+  nextSession(): void {
+    for (const t of this.tasks.values()) this.leave(t, false);
+    this.tasks.clear();
+    this.session++;
+    this.began = this.w.time.now;
+    this.lastAnswered = null;
+    this.changed();
+  }
+
   private schedule(ms: number): void {
     this.timer?.();
     this.timer = this.w.time.after(ms, () => void this.report());
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -1,5 +1,6 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { deflateSync } from 'node:zlib';
 import { Controller } from '../../src/actors/controller.js';
 import { defaultPolicy } from '../../src/core/policy.js';
 import type { JobId, MachineType } from '../../src/core/types.js';
@@ -156,6 +157,7 @@
         settings: settingsFor(i),
         policy: defaultPolicy,
         measure: () => {},
+        deflate: (text) => Promise.resolve(deflateSync(text)),
       },
       run,
     );
--- /dev/null
+++ b/test/log.test.ts
@@ -0,0 +1,84 @@
+import { describe, expect, it } from 'vitest';
+import { LogActor } from '../src/actors/log.js';
+import { giveBack, type CapacityInput } from '../src/core/capacity.js';
+import { State } from '../src/core/state.js';
+import type { Entry, MachineId, Steady, Wall } from '../src/core/types.js';
+import { Store } from '../src/wire/store.js';
+import { VirtualTime } from './fakes/clock.js';
+import { FakeStateService } from './fakes/state-service.js';
+import { box } from './fakes/world.js';
+
+const quiet = { info: () => {}, debug: () => {}, error: () => {}, warn: () => {} };
+const limits = { rps: 100, write_rps: 40, value_kb: 8, txn_ops: 12 };
+const job = (i: number, filler = 600): Entry => ({
+  e: 'job',
+  spec: { id: `wk-${i}`, image: 'x'.repeat(filler), tasks: 1 } as never,
+});
+
+describe('the pen', () => {
+  it('writes a burst as several records a transaction, and users before the rest', async () => {
+    const time = new VirtualTime();
+    const service = new FakeStateService(time, limits);
+    const transactions: number[] = [];
+    const store = new Store((_a, method, path, body) => {
+      if (path === '/txn') transactions.push((body as { apply: unknown[] }).apply.length);
+      return new Promise((ok) =>
+        time.after(10, () => void Promise.resolve(service.handle('n', method, path, body)).then(ok)),
+      );
+    }, 'state');
+    service.kv.set('q/leader', { data: {}, stamp: 1 });
+    const state = new State();
+    const clock = {
+      steady: () => time.now as Steady,
+      wall: () => time.now as Wall,
+      after: (ms: number, run: () => void) => time.after(ms, run),
+    };
+    const log = new LogActor(
+      state,
+      store,
+      clock,
+      limits,
+      1 as never,
+      1,
+      quiet,
+      () => expect.unreachable(),
+      () => {},
+    );
+    let user = Infinity;
+    let rest = 0;
+    log.tell({ entries: [job(0)] });
+    for (let i = 1; i <= 150; i++) log.tell({ entries: [job(i)], done: () => (rest = time.now) });
+    log.tell({ entries: [job(151)], urgent: true, done: () => (user = time.now) });
+    await time.run(5000);
+    expect(state.jobs.size).toBe(152);
+    expect(user).toBeLessThanOrEqual(40);
+    expect(rest).toBeLessThan(700);
+    expect(Math.max(...transactions)).toBeGreaterThan(3);
+    expect(service.over).toBe(0);
+  });
+
+  it('gets hundreds of machines to return in entries that each fit a record', () => {
+    const state = new State();
+    const up = (i: number): Entry => ({
+      e: 'up',
+      m: `vm-${String(i).padStart(6, '0')}` as MachineId,
+      addr: 'x',
+      type: 'box',
+      zone: 'a',
+      spot: false,
+      s: 1 as never,
+    });
+    const entries = [{ e: 'types', types: [box] } as Entry, ...Array.from({ length: 1000 }, (_, i) => up(i))];
+    state.apply(state.next, { term: 1 as never, tag: 1, at: 0 as Wall, entries });
+    const drops = giveBack({
+      state,
+      now: 1e9 as Wall,
+      silent: () => 0,
+      unreachable: () => false,
+      deaf: false,
+      policy: { idle: () => 1, silence: () => 11, rentSpot: () => true },
+    } as unknown as CapacityInput);
+    expect(drops.flatMap((d) => (d.e === 'drop' ? d.m : [])).length).toBe(1000);
+    for (const d of drops) expect(JSON.stringify(d).length).toBeLessThan(6000);
+  });
+});
--- a/test/stories.test.ts
+++ b/test/stories.test.ts
@@ -242,6 +242,91 @@
   });
 });
 
+describe('messages that come late or not at all', () => {
+  it('a machine whose reports arrive but that hears nothing holds no work and is returned', async () => {
+    const w = new World(50);
+    await w.started();
+    w.user(w.job({ shifts: 12, reckon_s: 40 }));
+    await w.time.run(20_000);
+    const one = [...w.workers.keys()][0]!;
+    w.network.deafen(one, 1e9);
+    await w.time.run(60_000);
+    expect(w.cloud.machines.has(one)).toBe(false);
+    await over(w, 200);
+  });
+
+  it('copies of reports revive no machine and undo no end, across a take-over and returns', async () => {
+    const w = new World(51);
+    w.network.copies = 0.7;
+    await w.started();
+    w.user(w.job({ shifts: 16, reckon_s: 12 }));
+    w.user(w.job({ shape: 'ensemble', shifts: 2, cpus: 6, reckon_s: 30 }));
+    await w.time.run(25_000);
+    const gone = [...w.workers.keys()][0]!;
+    w.cloud.lose(gone, 'missing');
+    w.crash(w.leader(), 300);
+    await w.time.run(30_000);
+    const lead = w.nodes[w.leader()]!.controller;
+    expect(JSON.stringify((lead.dump() as { machines: { id: string }[] }).machines)).not.toContain(gone);
+    w.user(w.job({ shifts: 8, reckon_s: 5 }));
+    await over(w, 200);
+  });
+
+  it('a leader without state service and peers lets its workers go before their leases end', async () => {
+    const w = new World(52);
+    await w.started();
+    w.user(w.job({ shifts: 12, reckon_s: 60 }));
+    await w.time.run(25_000);
+    const was = w.leader();
+    const n = `n${was}`;
+    w.network.cut(n, `state-for-${n}:1`, 60_000);
+    w.network.cut(`${n}:81`, '*', 60_000);
+    for (const o of [0, 1, 2]) w.network.cut(n, `n${o}:81`, 60_000);
+    const before = [...w.workers.values()].map((x) => [x.place.id, x.session]);
+    await w.time.run(4000);
+    const j = w.job();
+    w.checker.submitted(j);
+    const from = w.time.now;
+    const r = await settle(w, w.ask('submit', j.name_id, j, was));
+    expect([r.status, w.time.now - from < 300]).toEqual([503, true]);
+    expect(r.retryAfter).toBeGreaterThan(0);
+    await w.time.run(20_000);
+    expect(w.leader()).not.toBe(was);
+    expect([...w.workers.values()].map((x) => [x.place.id, x.session])).toEqual(before);
+    await over(w, 200);
+  });
+
+  it('a machine back within a fraction of a second starts anew in its later session', async () => {
+    const w = new World(53);
+    await w.started();
+    w.user(w.job({ shifts: 8, reckon_s: 30 }));
+    w.user(w.job({ shape: 'ensemble', shifts: 2, cpus: 6, reckon_s: 30 }));
+    await w.time.run(25_000);
+    for (const x of [...w.workers.values()].slice(0, 2)) x.nextSession();
+    w.crash(w.leader(), 200);
+    await over(w, 200);
+  });
+});
+
+describe('large work', () => {
+  it('a gang of many whole machines does not starve behind small work', async () => {
+    const w = new World(54);
+    for (const z of ['a', 'b']) {
+      w.cloud.room.set(`box|${z}|true`, 0);
+      w.cloud.room.set(`box|${z}|false`, 5);
+    }
+    await w.started();
+    for (let i = 0; i < 90; i++)
+      w.time.after(i * 1500, () => w.user(w.job({ desk: 'blue', shifts: 6, cpus: 1, reckon_s: 9 })));
+    await w.time.run(40_000);
+    const gang = w.job({ shape: 'ensemble', shifts: 4, cpus: 8, together: true, reckon_s: 10 });
+    w.user(gang);
+    await w.time.run(90_000);
+    expect(w.checker.standing(gang.name_id)).toBe('done');
+    await over(w, 600);
+  });
+});
+
 describe('the cloud fails', () => {
   it('its outage delays, and a rental without an answer is not made twice', async () => {
     const w = new World(30);
