--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -192,10 +192,6 @@
   return out;
 }
 
-/** Share of what is rented that may stand idle for as long as the policy says. */
-const SPARE = 0.04;
-const SURPLUS_MS = 5000;
-
 /** Machines to give back: silent, never up, set aside or idle for too long. */
 export function giveBack(input: CapacityInput): Entry[] {
   const { state, now } = input;
@@ -205,11 +201,8 @@
     by.set(why, of);
     of.push(m.id);
   };
-  const idle: { m: Machine; cpus: number; most: number }[] = [];
-  let rented = 0;
   for (const m of state.machines.values()) {
     if (m.drop) continue;
-    rented += state.types.get(m.type)?.cpus ?? 0;
     const of = { zone: m.zone, spot: m.spot, type: state.types.get(m.type) };
     if (m.session === 0) {
       if (now - m.hiredAt > input.bootMost(state.types.get(m.type)) * 1000) add('never up', m);
@@ -224,19 +217,12 @@
     if (silent > most) add('silent', m);
     else if (m.errors >= 2) add('faulty', m);
     else if (input.unreachable(m)) add('unreachable', m);
-    else if (m.live.size === 0) {
-      const cpus = of.type?.cpus ?? 0;
-      const most = input.policy.idle(of) * 1000;
-      idle.push({ m, cpus, most });
-    }
-  }
-  // Some room is kept at hand for what comes next; what is idle beyond that goes back soon.
-  idle.sort((a, b) => b.m.idleSince - a.m.idleSince);
-  let kept = 0;
-  for (const { m, cpus, most } of idle) {
-    kept += cpus;
-    const due = kept > rented * SPARE ? Math.min(most, SURPLUS_MS) : most;
-    if (now - m.hiredAt > 50_000 && now - m.idleSince > due) add('idle', m);
+    else if (
+      m.live.size === 0 &&
+      now - m.hiredAt > 50_000 &&
+      now - m.idleSince > input.policy.idle(of) * 1000
+    )
+      add('idle', m);
   }
   return [...by].flatMap(([why, all]) => pieces(all, 200).map((m): Entry => ({ e: 'drop', m, why })));
 }
