--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -19,8 +19,6 @@
   room: PlacementResult['room'];
   /** Machines whose places are held: they are not idle. */
   keep: PlacementResult['keep'];
-  /** Seconds in which jobs of a class should be done; 0 where their start is what counts. */
-  within: (c: string) => number;
   /** CPUs that are rented in a zone. */
   held: (zone: string) => number;
   /** Seconds until a task is likely to be over. */
@@ -103,20 +101,10 @@
   };
   const scarce = onlyTypes(state);
   const rented = new Map<string, { of: Bin; n: number }>();
-  for (const { job, tasks: waiting, zone } of unplaced) {
+  for (const { job, tasks, zone } of unplaced) {
     const s = job.spec;
     const types = [...state.types.values()].filter((t) => fitsType(s, t));
     const waits = rank[s.priority] < rank.high;
-    // What is in time in several waves needs fewer boots, fetches and half-empty machines.
-    const within = input.within(s.class);
-    let tasks = waiting;
-    if (!s.gang && within > 0 && types.length > 0) {
-      const settling = Math.min(...types.map((t) => t.boot + s.imageGb / t.fetch));
-      const rest = within * 0.65 - (now - job.at) / 1000 - settling;
-      const waves = Math.max(1, Math.floor(rest / (s.estimate * 1.2)));
-      tasks = Math.min(waiting, Math.ceil((s.tasks - job.done) / waves) - job.live.size);
-      if (tasks <= 0) continue;
-    }
     const may = (b: Bin): boolean =>
       b.count > 0 &&
       (b.soon === null || (waits && !avoids(job, b.soon))) &&
