Introduce the term after a report's time; one close listener a peer link

Cause: at 998 machines a take-over's first seconds carry a thousand workers coming over; direct introductions from the second second on doubled that. A log showed eleven close listeners on one peer link, one for each question on its way.

--- a/src/actors/workers.ts
+++ b/src/actors/workers.ts
@@ -271,7 +271,9 @@
     // Workers still held by a former leader learn of the new term, and drop that one's answers.
     const now = this.clock.steady();
     let calls = INTRODUCED_AT_ONCE - this.introducing.size;
-    if (now - this.since > 2000 && now - this.since < 20_000 && this.certain())
+    // Most come by themselves within a report's time, when a new leader has the most to do.
+    const first = this.reportS * 1250 + 500;
+    if (now - this.since > first && now - this.since < first + 20_000 && this.certain())
       for (const m of this.state.machines.values()) {
         if (calls <= 0) break;
         if (!isUp(m) || !m.addr || this.known.get(m.id)?.ours) continue;
--- a/src/io/peers.ts
+++ b/src/io/peers.ts
@@ -118,7 +118,7 @@
 export class PeerLinks implements Peers {
   private readonly known = new Map<string, { status: PeerStatus; at: number }>();
   private readonly open = new Map<string, net.Socket>();
-  private readonly waiting = new Map<number, (a: PeerAnswer | null) => void>();
+  private readonly waiting = new Map<number, { on: net.Socket; end: (a: PeerAnswer | null) => void }>();
   private nextId = 1;
 
   constructor(
@@ -200,7 +200,7 @@
           if (f.status) this.heard(f.status);
           if (f.answer) {
             const { id, ...a } = f.answer;
-            this.waiting.get(id)?.(a);
+            this.waiting.get(id)?.end(a);
           }
         },
         () => s.destroy(),
@@ -211,6 +211,7 @@
       clearInterval(tick);
       this.sockets.delete(s);
       if (this.open.get(p.node) === s) this.open.delete(p.node);
+      for (const w of [...this.waiting.values()]) if (w.on === s) w.end(null);
       if (!this.stopped) setTimeout(() => this.dial(p), 500);
     });
   }
@@ -223,13 +224,10 @@
       const end = (a: PeerAnswer | null): void => {
         clearTimeout(timer);
         this.waiting.delete(id);
-        s.off('close', closed);
         resolve(a);
       };
-      const closed = (): void => end(null);
       const timer = setTimeout(() => end(null), ASK_MS);
-      this.waiting.set(id, end);
-      s.once('close', closed);
+      this.waiting.set(id, { on: s, end });
       s.write(encode({ ask: { id, ...ask } }));
     });
   }
