Keep work that cannot start anew in time off spot machines

Changed: a job in time now, but not if a task had to start anew, counts 15 s against a spot machine in placement and three times its price in renting. Excluded: the wait for a place (p90 21-38 s).

--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -104,6 +104,13 @@
         o.kind === 'finished' && o.class && o.within_s ? [[o.class, o.within_s] as const] : [],
       ),
     );
+    this.soonest = new Map();
+    for (const o of c.objectives)
+      if (o.class && o.within_s)
+        this.soonest.set(
+          o.class,
+          o.kind === 'wait' ? 0 : Math.min(o.within_s, this.soonest.get(o.class) ?? Infinity),
+        );
     this.admission = new AdmissionActor(state, this.log, clock, teams, c.state.value_kb, certain, (j) =>
       this.workers.running(j),
     );
@@ -115,6 +122,8 @@
   }
   private readonly stamp: number;
   private readonly teams;
+  /** The same by the tightest aim; 0 where the start is what counts. */
+  private readonly soonest: Map<string, number>;
   /** Seconds within which jobs of a class are to be finished. */
   private readonly within: Map<string, number>;
 
@@ -210,6 +219,7 @@
       random: ports.random,
       sample: SAMPLE,
       usable,
+      within: (c) => this.soonest.get(c) ?? 0,
       most: STARTS_MOST,
     });
     entries.push(...placed.entries);
@@ -249,6 +259,7 @@
       silent: (m) => this.workers.silent(m),
       deaf,
       held: (z) => heldIn.get(z) ?? 0,
+      within: (c) => this.soonest.get(c) ?? 0,
       leaseS: ports.settings.cluster.workers.lease_s,
       bootMost: (t) => Math.max(60, (t?.boot ?? 30) * 3.5),
     };
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -1,4 +1,4 @@
-import { allowed, slots, type PlacementResult } from './placement.js';
+import { allowed, cannotRepeat, slots, type PlacementResult } from './placement.js';
 import type { Live, Machine, State } from './state.js';
 import { avoids, fitsType, onlyTypes } from './state.js';
 import type { Entry, MachineId, MachineType, Wall } from './types.js';
@@ -19,6 +19,7 @@
   room: PlacementResult['room'];
   /** Machines whose places are held: they are not idle. */
   keep: PlacementResult['keep'];
+  within: (c: string) => number;
   /** CPUs that are rented in a zone. */
   held: (zone: string) => number;
   /** Seconds until a task is likely to be over. */
@@ -105,6 +106,7 @@
     const s = job.spec;
     const types = [...state.types.values()].filter((t) => fitsType(s, t));
     const waits = rank[s.priority] < rank.high;
+    const fragile = cannotRepeat(job, now, input.within(s.class));
     const may = (b: Bin): boolean =>
       b.count > 0 &&
       (b.soon === null || (waits && !avoids(job, b.soon))) &&
@@ -122,7 +124,8 @@
             // What only this type can hold should find some of it; a gang loses with any one of its
             // machines what all of them did.
             const wanted = !spot && types.length > 1 && scarce.has(t.name) ? 1.3 : 1;
-            out.push({ t, zone: at, spot, c: c * wanted * (spot && s.gang ? 1 + 0.15 * s.tasks : 1) });
+            const risk = s.gang ? 1 + 0.15 * s.tasks : fragile ? 3 : 1;
+            out.push({ t, zone: at, spot, c: c * wanted * (spot ? risk : 1) });
           }
         }
       return out.sort((a, b) => a.c - b.c);
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -22,6 +22,8 @@
   sample: number;
   /** Machines whose workers reported lately and that may take work. */
   usable: Machine[];
+  /** Seconds in which jobs of a class should be done; 0 where their start is what counts. */
+  within: (c: string) => number;
   /** At most this many starts in one round. */
   most: number;
 }
@@ -105,15 +107,25 @@
  * Smaller is better, in about seconds: the image's fetch, waking a machine that could be given
  * back, paying the full price, and the room left over.
  */
-const score = (r: Room, j: Job): number =>
+const score = (r: Room, j: Job, fragile: boolean): number =>
   (hasImage(r, j) ? 0 : j.spec.imageGb / r.fetch) +
   (r.awake ? 0 : 12) +
   // A gang loses with any one of its machines what all of them did.
-  (r.m.spot ? (j.spec.gang ? Math.min(j.spec.tasks, 12) : 0) : 4) +
+  (r.m.spot ? (j.spec.gang ? Math.min(j.spec.tasks, 12) : fragile ? 15 : 0) : 4) +
   // Room that only larger work needs is left to it.
   (r.scarce && !j.spec.gang && !r.m.spot ? 15 : 0) +
   ((r.cpus - j.spec.cpus) / r.total) * 6;
 
+/**
+ * A job that is in time now and would not be if a task had to start anew: a machine that can be
+ * taken away is a bad place for what saves nothing.
+ */
+export const cannotRepeat = (j: Job, now: Wall, within: number): boolean => {
+  const left = within - (now - j.at) / 1000;
+  const run = j.spec.estimate;
+  return j.spec.checkpoint === 0 && within > 0 && left > run && left < 2 * run + 40;
+};
+
 /** How many like tasks a room holds. */
 export const slots = (r: Resources, s: Resources): number =>
   Math.max(
@@ -142,6 +154,7 @@
   n: number,
   sample: number,
   random: Random,
+  fragile: boolean,
   /** How many more the zone may take. */
   zoneLeft: (zone: string) => number,
 ): Share[] {
@@ -162,7 +175,7 @@
     for (let i = 0; i < sample; i++) {
       const r = pool[random.below(pool.length)]!;
       if (!fits(r, s)) continue;
-      const c = score(r, job);
+      const c = score(r, job, fragile);
       if (c < bs) [b, bs] = [r, c];
     }
     // A sampled machine without the image only does when none has it.
@@ -176,7 +189,7 @@
   if (left === 0) return out;
   const ranked = pool
     .filter((r) => fits(r, s))
-    .map((r) => ({ r, c: score(r, job) }))
+    .map((r) => ({ r, c: score(r, job, fragile) }))
     .sort((a, b) => a.c - b.c);
   for (const { r } of ranked) {
     if (left === 0) break;
@@ -301,6 +314,7 @@
     const mine = (r: Room): boolean => allowed(job, r.m) && !avoids(job, r.m.id);
     const open = hopeless ? [] : some.filter((r) => fits(r, spec) && mine(r));
     if (open.length === 0 && !hopeless && job.errorMachines.size === 0) failed.push(spec);
+    const fragile = cannotRepeat(job, now, input.within(spec.class));
     const perZone = new Map<string, number>();
     if (spec.oneZone || spec.spread)
       for (const l of job.live.values()) perZone.set(l.machine.zone, (perZone.get(l.machine.zone) ?? 0) + 1);
@@ -314,14 +328,14 @@
       if (zones.length > 1) {
         const roomIn = new Map<string | null, number>();
         for (const r of open)
-          roomIn.set(r.m.zone, (roomIn.get(r.m.zone) ?? 0) + 2000 * slots(r, spec) - score(r, job));
+          roomIn.set(r.m.zone, (roomIn.get(r.m.zone) ?? 0) + 2000 * slots(r, spec) - score(r, job, fragile));
         zones.sort((a, b) => roomIn.get(b)! - roomIn.get(a)!);
       }
     }
     let shares: Share[] = [];
     for (const zone of zones) {
       const pool = zone === null ? open : open.filter((r) => r.m.zone === zone);
-      shares = fill(pool, job, want, sample, random, (z) => zoneMost - (perZone.get(z) ?? 0));
+      shares = fill(pool, job, want, sample, random, fragile, (z) => zoneMost - (perZone.get(z) ?? 0));
       // A gang goes whole or not at all; a one-zone array takes the zone that has room.
       if (shares.length > 0 && (!spec.gang || shares.reduce((a, x) => a + x.n, 0) === want)) break;
       for (const x of shares) add(x.r, spec, x.n);
--- a/test/preemption.test.ts
+++ b/test/preemption.test.ts
@@ -52,6 +52,7 @@
       random: { below: () => 0 },
       sample: 5,
       usable,
+      within: () => 0,
       most: 100,
     });
     const p = preempt({
