--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -288,6 +288,7 @@
     this.roundAt = this.clock.steady();
     this.roundMs = this.roundAt - from;
     ports.measure('round', this.roundMs);
+    this.worst.round = Math.max(this.worst.round, Math.round(this.roundMs));
     if (this.clock.steady() - this.pulseAt > 10_000) {
       this.pulseAt = this.clock.steady();
       this.pulse(usable.length, preempted.unplaced);
@@ -317,12 +318,16 @@
         ...n,
         usable,
         waiting: waiting.slice(0, 8).map((w) => `${w.job.spec.class} ${w.job.spec.id}: ${w.tasks}`),
+        worstMs: this.worst,
         writeMs: Math.round(this.log.writes.ms / Math.max(1, this.log.writes.count)),
       },
       'pulse',
     );
+    this.worst = { round: 0, fold: 0 };
   }
   private pulseAt = -Infinity;
+  /** The longest steps since the last pulse: nothing is answered meanwhile. */
+  private worst = { round: 0, fold: 0 };
 
   /** A notice: what can save is stopped with time to save, gangs as a whole. */
   private evacuate(): Entry[] {
@@ -356,6 +361,7 @@
     const from = this.clock.steady();
     const text = JSON.stringify(this.state.dump());
     this.ports.measure('fold', this.clock.steady() - from);
+    this.worst.fold = Math.max(this.worst.fold, Math.round(this.clock.steady() - from));
     const pieces = await pack(text, Math.floor(limits.value_kb * 1024 - 64), this.ports.deflate);
     const ops: Op[] = pieces.map((value, i) => ({ put: chunkKey(upto, i), value }));
     const head: HeadValue = { upto, chunks: ops.length };
