--- a/src/actors/log.ts
+++ b/src/actors/log.ts
@@ -4,7 +4,7 @@
 import { sleep, type Cancel, type Clock } from '../io/clock.js';
 import type { Logger } from '../io/logger.js';
 import { LEADER, recordKey } from '../wire/keys.js';
-import type { Stamp, Store, TxnResult } from '../wire/store.js';
+import type { Store } from '../wire/store.js';
 import { Actor } from './actor.js';
 
 export interface Append {
@@ -18,8 +18,6 @@
 const SHARE = 0.85;
 /** Entries that nobody waits for are gathered for so long, as the paper's batches are. */
 const GATHER_MS = 100;
-/** A write without an answer for so long is repeated. */
-const REPEAT_MS = 60;
 /** A transaction's limit, less its guards and frame. */
 const TXN_BYTES = 60 * 1024;
 
@@ -151,35 +149,6 @@
     return out;
   }
 
-  /**
-   * The service now and then takes a few hundred milliseconds, and every user would wait for that:
-   * a write that is not answered soon is repeated beside the first. The guard on the absent keys
-   * lets one of them through; the other's refusal is settled by reading.
-   */
-  private send(puts: { put: string; value: LogRecord }[]): Promise<TxnResult> {
-    const guards = [
-      { key: LEADER, stamp: this.stamp },
-      ...puts.map((p) => ({ key: p.put, stamp: 0 as Stamp })),
-    ];
-    return new Promise((resolve) => {
-      let open = 0;
-      const go = (): void => {
-        open++;
-        void this.store.txn(guards, puts).then((r) => {
-          open--;
-          if (r.r !== 'done' && r.r !== 'failed' && open > 0) return;
-          cancel();
-          resolve(r);
-        });
-      };
-      const cancel = this.clock.after(REPEAT_MS, () => {
-        this.tokens -= puts.length;
-        go();
-      });
-      go();
-    });
-  }
-
   private async write(): Promise<void> {
     if (this.stopped) return;
     this.writing = true;
@@ -194,7 +163,10 @@
     // as it is, and the guard on the absent keys lets only one of the repeats through.
     for (let settled = false; !settled;) {
       if (this.stopped) return this.drop(all);
-      const r = await this.send(puts);
+      const r = await this.store.txn(
+        [{ key: LEADER, stamp: this.stamp }, ...puts.map((p) => ({ key: p.put, stamp: 0 }))],
+        puts,
+      );
       if (this.stopped) return this.drop(all);
       if (r.r === 'done') settled = true;
       else if (r.r === 'failed') {
