Preemption does not ask again for a need that nothing helped

Changed: where no lesser work runs only machines that are being emptied are looked at, and a need that found none stands for later ones of its kind.

--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -62,6 +62,10 @@
   };
   const soon: Soon[] = input.usable.map((m) => ({ m, ...plus(input.room(m), input.soon(m)) }));
   const running = input.claims.filter((c) => c.job.live.size > 0);
+  // Where nothing is being stopped there is no more room than the round has just sought in vain.
+  const freeing = soon.filter((r) => input.soon(r.m).cpus > EPS);
+  /** Needs of like claims that nothing helped: a later one of the kind may stop no more than they. */
+  const inVain = new Map<string, Resources[]>();
   const victims = new Map<Job, Set<number>>();
   const chosen = new Set<Live>();
   const left: PlacementResult['unplaced'] = [];
@@ -70,6 +74,13 @@
     const { job } = u;
     const s = job.spec;
     const lesser = new Set<Job>();
+    const kind = `${s.team}|${s.priority}|${u.guaranteed}|${s.types?.join() ?? ''}|${s.zone ?? ''}|${s.spot}`;
+    const vain = inVain.get(kind) ?? [];
+    inVain.set(kind, vain);
+    if (vain.some((f) => fits(s, f))) {
+      left.push(u);
+      continue;
+    }
     for (const c of running) if (may(job, u.guaranteed, c.job)) lesser.add(c.job);
     let zone = u.zone;
     if (s.oneZone) for (const l of job.live.values()) zone = l.machine.zone;
@@ -100,10 +111,11 @@
     let missing = u.tasks;
     const picks: { r: Soon; v: Live[]; cost: number }[] = [];
     // Like tasks are one decision: all machines are ranked once for the job.
-    const ranked = soon
+    const ranked = (lesser.size > 0 ? soon : freeing)
       .filter((r) => allowed(job, r.m) && !avoids(job, r.m.id) && (zone === null || r.m.zone === zone))
       .flatMap((r) => cost(r) ?? [])
       .sort((a, b) => a.cost - b.cost);
+    if (ranked.length === 0 && zone === null && job.errorMachines.size === 0) vain.push(s);
     for (const first of ranked) {
       if (missing === 0) break;
       if (s.oneZone && zone !== null && first.r.m.zone !== zone) continue;
