--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -142,16 +142,15 @@
       const on = new Map<string, number>();
       for (const b of bins)
         if (may(b)) on.set(b.zone, (on.get(b.zone) ?? 0) + Math.min(left, b.count * slots(b, s)));
-      const can = new Map<string, number>();
-      for (const k of kinds(null)) if (!can.has(k.zone)) can.set(k.zone, k.c);
-      const zones = [...new Set([...on.keys(), ...can.keys()])];
+      const can = new Set(kinds(null).map((k) => k.zone));
+      const zones = [...new Set([...on.keys(), ...can])];
       const worth = (x: string): number => {
         const have = Math.min(left, on.get(x) ?? 0);
         return have === left || can.has(x) ? have : -1;
       };
-      // The cheaper one of equal zones, and zones of equal price share the load.
-      const by = zones.map((x) => ({ x, w: worth(x), c: can.get(x) ?? Infinity, r: input.held(x) }));
-      by.sort((a, b) => b.w - a.w || (a.c === b.c ? a.r - b.r : a.c - b.c));
+      // Equal zones share the load.
+      const by = zones.map((x) => ({ x, w: worth(x), r: input.held(x) }));
+      by.sort((a, b) => b.w - a.w || a.r - b.r);
       if (by.length === 0 || by[0]!.w < 0) continue;
       z = by[0]!.x;
     }
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -310,10 +310,10 @@
     const where = `${spec.types?.join() ?? ''}|${spec.zone ?? ''}|${spec.spot}`;
     const failed = noRoom.get(where) ?? [];
     noRoom.set(where, failed);
-    const inVain = failed.some((f) => fits(spec, f));
+    const hopeless = failed.some((f) => fits(spec, f));
     const mine = (r: Room): boolean => allowed(job, r.m) && !avoids(job, r.m.id);
-    const open = inVain ? [] : some.filter((r) => fits(r, spec) && mine(r));
-    if (open.length === 0 && !inVain && job.errorMachines.size === 0) failed.push(spec);
+    const open = hopeless ? [] : some.filter((r) => fits(r, spec) && mine(r));
+    if (open.length === 0 && !hopeless && job.errorMachines.size === 0) failed.push(spec);
     const fragile = cannotRepeat(job, now, input.within(spec.class));
     const perZone = new Map<string, number>();
     if (spec.oneZone || spec.spread)
