One bucket, one memo of vain needs, one cut of lists, one opening of stories

Read again as a whole: the pen and the cloud actor each kept a token bucket, placement and preemption each a list of needs that found nothing, four places cut lists beside pieces(), two cut host:port, and the CPUs of each zone were summed every round though only renting reads them. Rent's odd remainder is a modulo. Twenty stories opened with the same two lines.

--- a/src/actors/cloud.ts
+++ b/src/actors/cloud.ts
@@ -1,3 +1,4 @@
+import { pieces } from '../core/pieces.js';
 import type { State } from '../core/state.js';
 import type { MachineId, MachineType, Steady } from '../core/types.js';
 import type { Clock } from '../io/clock.js';
@@ -5,6 +6,7 @@
 import type { Cloud } from '../wire/cloud.js';
 import type { Listed } from '../wire/schemas.js';
 import { Actor } from './actor.js';
+import { Bucket } from './bucket.js';
 import type { LogActor } from './log.js';
 
 type CloudMessage = { t: 'tick' };
@@ -16,8 +18,7 @@
   private readonly renting = new Set<string>();
   private readonly returning = new Set<MachineId>();
   private readonly dry = new Map<string, { until: Steady; pause: number }>();
-  private tokens: number;
-  private tokensAt: Steady;
+  private readonly calls: Bucket;
   private listedAt = -Infinity;
   private listing = false;
   private typesAt = -Infinity;
@@ -35,8 +36,7 @@
     private readonly logger: Logger,
   ) {
     super();
-    this.tokens = limits.rps;
-    this.tokensAt = clock.steady();
+    this.calls = new Bucket(clock, limits.rps * 0.85, limits.rps);
   }
 
   /** Whether a type, zone and kind had nothing to give a moment ago. */
@@ -46,12 +46,8 @@
   }
 
   private spend(): boolean {
-    const now = this.clock.steady();
-    const rate = this.limits.rps * 0.85;
-    this.tokens = Math.min(this.limits.rps, this.tokens + ((now - this.tokensAt) / 1000) * rate);
-    this.tokensAt = now;
-    if (this.tokens < 1) return false;
-    this.tokens--;
+    if (this.calls.left < 1) return false;
+    this.calls.take(1);
     return true;
   }
 
@@ -122,9 +118,9 @@
         return this.trouble();
       }
       // The answer is the sure fence: the machines and all that was on them are gone.
-      for (let i = 0; i < due.length; i += 50)
+      for (const m of pieces(due, 50))
         this.log.tell({
-          entries: [{ e: 'gone', m: due.slice(i, i + 50) }],
+          entries: [{ e: 'gone', m }],
           done: () => {
             for (const id of due) this.returning.delete(id);
           },
--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -1,4 +1,5 @@
 import { giveBack, rent, type CapacityInput } from '../core/capacity.js';
+import { pieces } from '../core/pieces.js';
 import { claims, place, type Random } from '../core/placement.js';
 import type { Policy } from '../core/policy.js';
 import { preempt } from '../core/preemption.js';
@@ -238,9 +239,6 @@
     const up = [...state.machines.values()].filter(isUp);
     const quiet = up.filter((m) => this.workers.silent(m) > 6).length;
     const deaf = up.length >= 3 && quiet * 2 > up.length;
-    const heldIn = new Map<string, number>();
-    for (const m of state.machines.values())
-      heldIn.set(m.zone, (heldIn.get(m.zone) ?? 0) + (state.types.get(m.type)?.cpus ?? 0));
     const capacity: CapacityInput = {
       state,
       zones: ports.settings.cluster.zones,
@@ -258,7 +256,6 @@
       policy: ports.policy,
       silent: (m) => this.workers.silent(m),
       deaf,
-      held: (z) => heldIn.get(z) ?? 0,
       within: (c) => this.soonest.get(c) ?? 0,
       leaseS: ports.settings.cluster.workers.lease_s,
       bootMost: (t) => Math.max(60, (t?.boot ?? 30) * 3.5),
@@ -360,10 +357,11 @@
     const old = this.head;
     const from = this.clock.steady();
     const text = JSON.stringify(this.state.dump());
-    this.ports.measure('fold', this.clock.steady() - from);
-    this.worst.fold = Math.max(this.worst.fold, Math.round(this.clock.steady() - from));
-    const pieces = await pack(text, Math.floor(limits.value_kb * 1024 - 64), this.ports.deflate);
-    const ops: Op[] = pieces.map((value, i) => ({ put: chunkKey(upto, i), value }));
+    const took = this.clock.steady() - from;
+    this.ports.measure('fold', took);
+    this.worst.fold = Math.max(this.worst.fold, Math.round(took));
+    const packed = await pack(text, Math.floor(limits.value_kb * 1024 - 64), this.ports.deflate);
+    const ops: Op[] = packed.map((value, i) => ({ put: chunkKey(upto, i), value }));
     const head: HeadValue = { upto, chunks: ops.length };
     const most = Math.max(1, Math.min(limits.txn_ops, this.log.spareMost));
     const write = async (part: Op[]): Promise<boolean> => {
@@ -378,7 +376,7 @@
       }
     };
     const inParts = async (list: Op[], n: number): Promise<boolean> => {
-      for (let i = 0; i < list.length; i += n) if (!(await write(list.slice(i, i + n)))) return false;
+      for (const part of pieces(list, n)) if (!(await write(part))) return false;
       return true;
     };
     const bulky = Math.max(1, Math.min(most, Math.floor(60 / limits.value_kb)));
--- a/src/actors/log.ts
+++ b/src/actors/log.ts
@@ -1,11 +1,12 @@
 import { Subject } from 'rxjs';
 import type { State } from '../core/state.js';
-import type { Entry, LogRecord, RecordNo, Steady, Term } from '../core/types.js';
+import type { Entry, LogRecord, RecordNo, Term } from '../core/types.js';
 import { sleep, type Cancel, type Clock } from '../io/clock.js';
 import type { Logger } from '../io/logger.js';
 import { LEADER, recordKey } from '../wire/keys.js';
 import type { Store } from '../wire/store.js';
 import { Actor } from './actor.js';
+import { Bucket } from './bucket.js';
 
 export interface Append {
   entries: Entry[];
@@ -40,8 +41,7 @@
   private writingSince = 0;
   private lastStart = -Infinity;
   private tag = 0;
-  private tokens: number;
-  private tokensAt: Steady;
+  private readonly bucket: Bucket;
   private cancelWait: Cancel | null = null;
   readonly committed = new Subject<{ no: RecordNo; record: LogRecord }>();
   readonly writes = { count: 0, ms: 0 };
@@ -58,31 +58,20 @@
     private readonly measure: (ms: number) => void,
   ) {
     super();
-    this.tokens = this.burst;
-    this.tokensAt = clock.steady();
-  }
-
-  private get burst(): number {
-    return Math.max(1, Math.floor(this.limits.write_rps * 0.4));
-  }
-
-  private refill(): void {
-    const now = this.clock.steady();
-    const rate = (this.limits.write_rps * SHARE) / 1000;
-    this.tokens = Math.min(this.burst, this.tokens + (now - this.tokensAt) * rate);
-    this.tokensAt = now;
+    const burst = Math.max(1, Math.floor(limits.write_rps * 0.4));
+    this.bucket = new Bucket(clock, limits.write_rps * SHARE, burst);
   }
 
   /** Folding takes writes that the pen leaves over: never more than this at once. */
   get spareMost(): number {
-    return Math.max(1, Math.floor(this.burst / 2));
+    return Math.max(1, Math.floor(this.bucket.burst / 2));
   }
 
   /** Takes so many writes for folding, if enough are left for a burst of records. */
   spare(n: number): boolean {
-    this.refill();
-    if (this.tokens < Math.min(this.burst, n + this.burst / 2)) return false;
-    this.tokens -= n;
+    const { left, burst } = this.bucket;
+    if (left < Math.min(burst, n + burst / 2)) return false;
+    this.bucket.take(n);
     return true;
   }
 
@@ -108,11 +97,9 @@
     this.cancelWait?.();
     this.cancelWait = null;
     if (this.urgent.length + this.queue.length === 0) return;
-    const now = this.clock.steady();
-    this.refill();
     const wait = Math.max(
-      ((1 - this.tokens) / (this.limits.write_rps * SHARE)) * 1000,
-      this.urgent.length > 0 ? 0 : this.lastStart + GATHER_MS - now,
+      this.bucket.wait,
+      this.urgent.length > 0 ? 0 : this.lastStart + GATHER_MS - this.clock.steady(),
     );
     if (wait > 0) this.cancelWait = this.clock.after(Math.ceil(wait), () => this.pump());
     else void this.write();
@@ -123,7 +110,7 @@
     const records = Math.max(
       1,
       Math.min(
-        Math.floor(this.tokens),
+        Math.floor(this.bucket.left),
         this.limits.txn_ops,
         Math.floor(TXN_BYTES / (this.limits.value_kb * 1024)),
       ),
@@ -154,7 +141,7 @@
     this.writing = true;
     const batches = this.batches();
     const all = batches.flatMap((b) => b.items);
-    this.tokens -= batches.length;
+    this.bucket.take(batches.length);
     const first = this.state.next;
     const puts = batches.map((b, i) => ({ put: recordKey(first + i), value: b.record }));
     const from = this.clock.steady();
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -9,6 +9,7 @@
 import { Controller } from '../actors/controller.js';
 import { defaultPolicy, type Policy } from '../core/policy.js';
 import type { NodeId } from '../core/types.js';
+import { hostPort } from '../io/address.js';
 import { realClock } from '../io/clock.js';
 import { httpCaller } from '../io/http-client.js';
 import { Metrics } from '../io/metrics.js';
@@ -20,11 +21,6 @@
 import { readPolicy } from './policy.js';
 import { Store } from '../wire/store.js';
 
-const hostPort = (a: string): { host: string; port: number } => {
-  const cut = a.lastIndexOf(':');
-  return { host: a.slice(0, cut), port: Number(a.slice(cut + 1)) };
-};
-
 function load(file: string): Settings {
   return readSettings(JSON.parse(readFileSync(file, 'utf8')));
 }
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -1,3 +1,4 @@
+import { pieces } from './pieces.js';
 import { allowed, cannotRepeat, slots, type PlacementResult } from './placement.js';
 import type { Live, Machine, State } from './state.js';
 import { avoids, fitsType, onlyTypes } from './state.js';
@@ -19,9 +20,8 @@
   room: PlacementResult['room'];
   /** Machines whose places are held: they are not idle. */
   keep: PlacementResult['keep'];
+  /** Seconds in which jobs of a class should be done; 0 where their start is what counts. */
   within: (c: string) => number;
-  /** CPUs that are rented in a zone. */
-  held: (zone: string) => number;
   /** Seconds until a task is likely to be over. */
   remaining: (l: Live) => number;
   /** Seconds without a report. */
@@ -63,8 +63,11 @@
     b.count += n;
     return b;
   };
+  /** CPUs that are rented in each zone. */
+  const held = new Map<string, number>();
   for (const m of state.machines.values()) {
     const t = state.types.get(m.type);
+    held.set(m.zone, (held.get(m.zone) ?? 0) + (t?.cpus ?? 0));
     if (t && m.session === 0 && !m.drop && now - m.hiredAt < t.boot * 3000) group(t, m.zone, m.spot, false);
   }
   for (const h of state.hires.values()) {
@@ -96,9 +99,9 @@
     };
     const full = Math.min(b.count, Math.floor(n / per));
     split(full, per);
-    const odd = b.count > 0 ? n - full * per : 0;
-    if (odd > 0) split(1, Math.min(odd, per));
-    return Math.min(n, full * per + Math.max(0, odd));
+    const odd = b.count > 0 ? n % per : 0;
+    if (odd > 0) split(1, odd);
+    return full * per + odd;
   };
   const scarce = onlyTypes(state);
   const rented = new Map<string, { of: Bin; n: number }>();
@@ -149,7 +152,7 @@
         return have === left || can.has(x) ? have : -1;
       };
       // Equal zones share the load.
-      const by = zones.map((x) => ({ x, w: worth(x), r: input.held(x) }));
+      const by = zones.map((x) => ({ x, w: worth(x), r: held.get(x) ?? 0 }));
       by.sort((a, b) => b.w - a.w || a.r - b.r);
       if (by.length === 0 || by[0]!.w < 0) continue;
       z = by[0]!.x;
@@ -188,13 +191,6 @@
 /** Of one type, zone and kind in one round: the answers say whether there are more. */
 const MOST_RENTED = 150;
 
-/** Cuts a list so that each piece fits a record. */
-export function pieces<T>(all: T[], size: number): T[][] {
-  const out: T[][] = [];
-  for (let i = 0; i < all.length; i += size) out.push(all.slice(i, i + size));
-  return out;
-}
-
 /** Machines to give back: silent, never up, set aside or idle for too long. */
 export function giveBack(input: CapacityInput): Entry[] {
   const { state, now } = input;
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -1,5 +1,6 @@
 import { avoids, fitsType, onlyTypes, type Job, type Machine, type State } from './state.js';
-import type { Entry, MachineId, Team, Wall } from './types.js';
+import type { Entry, JobSpec, MachineId, Team, Wall } from './types.js';
+import { pieces } from './pieces.js';
 import { add, fits, plus, type Resources } from './resources.js';
 import { EPS, rank } from './types.js';
 
@@ -103,6 +104,24 @@
   (!j.spec.zone || m.zone === j.spec.zone) &&
   (j.spec.spot || !m.spot);
 
+/** Jobs that may go to the same machines have the same. */
+export const where = (s: JobSpec): string => `${s.types?.join() ?? ''}|${s.zone ?? ''}|${s.spot}`;
+
+/** Needs of a kind that nothing met this round: what needs as much or more is not sought again. */
+export class InVain {
+  private readonly needs = new Map<string, Resources[]>();
+
+  has(kind: string, need: Resources): boolean {
+    return this.needs.get(kind)?.some((n) => fits(need, n)) ?? false;
+  }
+
+  add(kind: string, need: Resources): void {
+    const of = this.needs.get(kind) ?? [];
+    this.needs.set(kind, of);
+    of.push(need);
+  }
+}
+
 /**
  * Smaller is better, in about seconds: the image's fetch, waking a machine that could be given
  * back, paying the full price, and the room left over.
@@ -286,8 +305,8 @@
   // Work follows what has room: on a busy day few machines do.
   let some = rooms.filter((r) => r.cpus > EPS);
   const freeing = rooms.filter((r) => r.soon.cpus > EPS);
-  /** Needs that found no machine at all this round, by where they may go. */
-  const noRoom = new Map<string, Resources[]>();
+  /** Needs that found no machine at all this round. */
+  const noRoom = new InVain();
   const use = new Map([...state.teamUse].map(([k, v]) => [k, { ...v }]));
   const entries: Entry[] = [];
   const unplaced: PlacementResult['unplaced'] = [];
@@ -307,13 +326,10 @@
     want = Math.min(want, limit, Math.max(0, input.most - starts));
     if (want === 0 || (spec.gang && want < spec.tasks)) continue;
 
-    const where = `${spec.types?.join() ?? ''}|${spec.zone ?? ''}|${spec.spot}`;
-    const failed = noRoom.get(where) ?? [];
-    noRoom.set(where, failed);
-    const hopeless = failed.some((f) => fits(spec, f));
+    const inVain = noRoom.has(where(spec), spec);
     const mine = (r: Room): boolean => allowed(job, r.m) && !avoids(job, r.m.id);
-    const open = hopeless ? [] : some.filter((r) => fits(r, spec) && mine(r));
-    if (open.length === 0 && !hopeless && job.errorMachines.size === 0) failed.push(spec);
+    const open = inVain ? [] : some.filter((r) => fits(r, spec) && mine(r));
+    if (open.length === 0 && !inVain && job.errorMachines.size === 0) noRoom.add(where(spec), spec);
     const fragile = cannotRepeat(job, now, input.within(spec.class));
     const perZone = new Map<string, number>();
     if (spec.oneZone || spec.spread)
@@ -357,8 +373,7 @@
       u.cpus += spec.cpus * placed;
       u.gpus += spec.gpus * placed;
       starts += placed;
-      for (let i = 0; i < p.length; i += 100)
-        entries.push({ e: 'start', job: spec.id, p: p.slice(i, i + 100) });
+      for (const part of pieces(p, 100)) entries.push({ e: 'start', job: spec.id, p: part });
       some = some.filter((r) => r.cpus > EPS);
     }
     const left = want - placed;
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -1,5 +1,5 @@
-import { pieces } from './capacity.js';
-import { allowed, type Claim, type PlacementResult } from './placement.js';
+import { pieces } from './pieces.js';
+import { allowed, InVain, where, type Claim, type PlacementResult } from './placement.js';
 import { add, fits, plus, type Resources } from './resources.js';
 import { avoids, type Job, type Live, type Machine, type State } from './state.js';
 import type { Entry, Team } from './types.js';
@@ -65,7 +65,7 @@
   // Where nothing is being stopped there is no more room than the round has just sought in vain.
   const freeing = soon.filter((r) => input.soon(r.m).cpus > EPS);
   /** Needs of like claims that nothing helped: a later one of the kind may stop no more than they. */
-  const inVain = new Map<string, Resources[]>();
+  const inVain = new InVain();
   const victims = new Map<Job, Set<number>>();
   const chosen = new Set<Live>();
   const left: PlacementResult['unplaced'] = [];
@@ -74,10 +74,8 @@
     const { job } = u;
     const s = job.spec;
     const lesser = new Set<Job>();
-    const kind = `${s.team}|${s.priority}|${u.guaranteed}|${s.types?.join() ?? ''}|${s.zone ?? ''}|${s.spot}`;
-    const vain = inVain.get(kind) ?? [];
-    inVain.set(kind, vain);
-    if (vain.some((f) => fits(s, f))) {
+    const kind = `${s.team}|${s.priority}|${u.guaranteed}|${where(s)}`;
+    if (inVain.has(kind, s)) {
       left.push(u);
       continue;
     }
@@ -115,7 +113,7 @@
       .filter((r) => allowed(job, r.m) && !avoids(job, r.m.id) && (zone === null || r.m.zone === zone))
       .flatMap((r) => cost(r) ?? [])
       .sort((a, b) => a.cost - b.cost);
-    if (ranked.length === 0 && zone === null && job.errorMachines.size === 0) vain.push(s);
+    if (ranked.length === 0 && zone === null && job.errorMachines.size === 0) inVain.add(kind, s);
     for (const first of ranked) {
       if (missing === 0) break;
       if (s.oneZone && zone !== null && first.r.m.zone !== zone) continue;
--- a/src/io/http-client.ts
+++ b/src/io/http-client.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import { hostPort } from './address.js';
 
 export interface HttpAnswer {
   status: number;
@@ -22,7 +23,6 @@
   const agent = new http.Agent({ keepAlive: true, maxFreeSockets: 4, scheduling: 'lifo', timeout: FREE_MS });
   return (address, method, path, body, timeoutMs) =>
     new Promise((resolve) => {
-      const cut = address.lastIndexOf(':');
       const text = body === undefined ? undefined : JSON.stringify(body);
       let settled = false;
       const settle = (a: HttpAnswer | null): void => {
@@ -34,8 +34,7 @@
       const req = http.request(
         {
           agent,
-          host: address.slice(0, cut),
-          port: Number(address.slice(cut + 1)),
+          ...hostPort(address),
           method,
           path,
           headers:
--- a/test/stories.test.ts
+++ b/test/stories.test.ts
@@ -1,6 +1,13 @@
 import { describe, expect, it } from 'vitest';
 import { World } from './fakes/world.js';
 
+/** A day on which a controller leads already. */
+const begun = async (seed: number): Promise<World> => {
+  const w = new World(seed);
+  await w.started();
+  return w;
+};
+
 const over = async (w: World, mostS: number): Promise<void> => {
   const all = await w.time.until(() => w.allOver(), mostS * 1000);
   w.checker.finish();
@@ -10,8 +17,7 @@
 
 describe('a quiet day', () => {
   it('runs arrays and gangs, cancels one, and gives the machines back', async () => {
-    const w = new World(1);
-    await w.started();
+    const w = await begun(1);
     w.user(w.job({ shifts: 10 }));
     w.user(w.job({ shape: 'ensemble', shifts: 3, cpus: 6, together: true, urgency: 'high' }));
     w.user(w.job({ desk: 'blue', shifts: 40, spread: true, reckon_s: 5 }));
@@ -25,8 +31,7 @@
   });
 
   it('refuses what can never run, and takes the same job once', async () => {
-    const w = new World(2);
-    await w.started();
+    const w = await begun(2);
     const big = w.job({ cpus: 9 });
     const strange = w.job({ desk: 'nobody' });
     const gang = w.job({ shape: 'ensemble', shifts: 20, cpus: 4 });
@@ -49,8 +54,7 @@
 
 describe('controllers fail', () => {
   it('another leads after a crash, and nothing runs twice', async () => {
-    const w = new World(3);
-    await w.started();
+    const w = await begun(3);
     w.user(w.job({ shifts: 20, reckon_s: 20 }));
     w.user(w.job({ shape: 'ensemble', shifts: 2, cpus: 6 }));
     await w.time.run(18_000);
@@ -73,8 +77,7 @@
   });
 
   it('all crash at once, one of them back within a fraction of a second', async () => {
-    const w = new World(4);
-    await w.started();
+    const w = await begun(4);
     w.user(w.job({ shifts: 20, reckon_s: 20 }));
     w.user(w.job({ shifts: 4, reckon_s: 300 }), 40_000);
     await w.time.run(20_000);
@@ -85,8 +88,7 @@
   });
 
   it('keeps leases alive through an outage of the state service', async () => {
-    const w = new World(5);
-    await w.started();
+    const w = await begun(5);
     w.user(w.job({ shifts: 8, reckon_s: 60 }));
     await w.time.run(30_000);
     const sessions = [...w.workers.values()].map((x) => x.session);
@@ -103,8 +105,7 @@
   });
 
   it('a leader that alone is refused by the state service gives way', async () => {
-    const w = new World(6);
-    await w.started();
+    const w = await begun(6);
     w.user(w.job({ shifts: 12, reckon_s: 30 }));
     await w.time.run(20_000);
     const was = w.leader();
@@ -119,8 +120,7 @@
 
 describe('a leader that is cut off', () => {
   it('from all but the state service hands over', async () => {
-    const w = new World(11);
-    await w.started();
+    const w = await begun(11);
     w.user(w.job({ shifts: 12, reckon_s: 40 }));
     await w.time.run(25_000);
     const was = w.leader();
@@ -138,8 +138,7 @@
   });
 
   it('from the workers alone hands over', async () => {
-    const w = new World(12);
-    await w.started();
+    const w = await begun(12);
     w.user(w.job({ shifts: 12, reckon_s: 40 }));
     await w.time.run(25_000);
     const was = w.leader();
@@ -155,8 +154,7 @@
 
 describe('the state service', () => {
   it('followers keep up past removed keys, folded records among them', async () => {
-    const w = new World(10);
-    await w.started();
+    const w = await begun(10);
     for (let i = 0; i < 130; i++) {
       w.user(w.job({ shifts: 3, reckon_s: 2 }));
       await w.time.run(1500);
@@ -171,8 +169,7 @@
 
 describe('machines fail', () => {
   it('restarts what was on machines that died, vanished or turned faulty', async () => {
-    const w = new World(7);
-    await w.started();
+    const w = await begun(7);
     w.user(w.job({ shifts: 16, reckon_s: 40 }));
     w.user(w.job({ shape: 'ensemble', shifts: 2, cpus: 5, reckon_s: 40 }));
     await w.time.run(25_000);
@@ -184,8 +181,7 @@
   });
 
   it('a notice lets what can save go on elsewhere', async () => {
-    const w = new World(20);
-    await w.started();
+    const w = await begun(20);
     w.user(w.job({ shifts: 4, cpus: 2, reckon_s: 60, waymark_s: 20, stow_s: 2 }));
     w.user(w.job({ shape: 'ensemble', shifts: 2, cpus: 6, reckon_s: 60, waymark_s: 20, stow_s: 2 }));
     await w.time.run(30_000);
@@ -205,8 +201,7 @@
   });
 
   it('a wave without notice costs a restart, not a rule', async () => {
-    const w = new World(21);
-    await w.started();
+    const w = await begun(21);
     w.user(w.job({ shifts: 20, reckon_s: 40 }));
     await w.time.run(25_000);
     for (const id of [...w.workers.keys()].slice(0, 3)) w.cloud.lose(id, 'missing');
@@ -214,8 +209,7 @@
   });
 
   it('a job that fails everywhere is not tried in a hot loop and spoils no machine', async () => {
-    const w = new World(22);
-    await w.started();
+    const w = await begun(22);
     for (let i = 0; i < 3; i++) w.user(w.job({ shifts: 1, cpus: 8, reckon_s: 100 }));
     await w.time.run(25_000);
     const bad = w.job({ shifts: 1, cpus: 1 });
@@ -230,8 +224,7 @@
   });
 
   it('a cut machine whose commands arrive late breaks no rule', async () => {
-    const w = new World(8);
-    await w.started();
+    const w = await begun(8);
     w.user(w.job({ shifts: 16, reckon_s: 25 }));
     await w.time.run(14_000);
     const [one, two] = [...w.workers.keys()];
@@ -244,8 +237,7 @@
 
 describe('messages that come late or not at all', () => {
   it('a machine whose reports arrive but that hears nothing holds no work and is returned', async () => {
-    const w = new World(50);
-    await w.started();
+    const w = await begun(50);
     for (let i = 0; i < 60; i++) w.user(w.job({ shifts: 3, reckon_s: 20 }));
     await w.time.run(20_000);
     const one = [...w.workers.keys()][0]!;
@@ -276,8 +268,7 @@
   });
 
   it('a leader without state service and peers lets its workers go before their leases end', async () => {
-    const w = new World(52);
-    await w.started();
+    const w = await begun(52);
     w.user(w.job({ shifts: 12, reckon_s: 60 }));
     await w.time.run(25_000);
     const was = w.leader();
@@ -301,8 +292,7 @@
   });
 
   it('a machine back within a fraction of a second starts anew in its later session', async () => {
-    const w = new World(53);
-    await w.started();
+    const w = await begun(53);
     w.user(w.job({ shifts: 8, reckon_s: 30 }));
     w.user(w.job({ shape: 'ensemble', shifts: 2, cpus: 6, reckon_s: 30 }));
     await w.time.run(25_000);
@@ -334,8 +324,7 @@
 
 describe('the cloud fails', () => {
   it('its outage delays, and a rental without an answer is not made twice', async () => {
-    const w = new World(30);
-    await w.started();
+    const w = await begun(30);
     w.network.cut('cloud:1', '*', 9000);
     w.user(w.job({ shifts: 4, cpus: 8 }));
     await w.time.run(9000);
@@ -360,8 +349,7 @@
 
 describe('a burst', () => {
   it('is taken or refused at once, and gangs of high priority still start', async () => {
-    const w = new World(40);
-    await w.started();
+    const w = await begun(40);
     for (let i = 0; i < 60; i++)
       w.user(w.job({ desk: 'blue', urgency: 'low', shifts: 20, cpus: 1, reckon_s: 8 }));
     await w.time.run(20_000);
@@ -374,8 +362,7 @@
   });
 
   it('of the largest job is stored compactly', async () => {
-    const w = new World(41);
-    await w.started();
+    const w = await begun(41);
     const j = w.job({ shifts: 100_000, cpus: 1, reckon_s: 100_000 });
     w.user(j, 60_000);
     await w.time.run(40_000);
