Direct calls and kept connections bounded by the node's sockets; standstills are no silence

Now calls are a twelfth of the sockets, the rest waits for a free call or the next report, and connections are kept only below four fifths. A leader that stood still counts its machines' silence anew and takes what queued for no sign of life.

--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -4,7 +4,15 @@
 import type { Policy } from '../core/policy.js';
 import { preempt } from '../core/preemption.js';
 import { isUp, type Job, type Live, type State } from '../core/state.js';
-import { rank, type Entry, type LogRecord, type MachineId, type RecordNo, type Term } from '../core/types.js';
+import {
+  rank,
+  type Cause,
+  type Entry,
+  type LogRecord,
+  type MachineId,
+  type RecordNo,
+  type Term,
+} from '../core/types.js';
 import { sleep, type Cancel, type Clock } from '../io/clock.js';
 import type { HttpCall } from '../io/http-client.js';
 import type { Measure } from '../io/metrics.js';
@@ -40,6 +48,9 @@
 /** Starts of one round: about as many as the pen writes until the next. */
 const STARTS_MOST = 2500;
 
+/** Direct calls to workers, of a node's sockets: most of those hold the workers' own connections. */
+const callsMost = (sockets: number): number => Math.max(8, Math.floor(sockets / 12));
+
 type LeaderMessage = { t: 'round' };
 
 /** One term of leading: the log's pen, and the rounds that decide what runs where. */
@@ -86,6 +97,7 @@
       clock,
       held.term,
       c.workers.report_s,
+      callsMost(c.machine_limits.sockets),
       certain,
       () => lock.uncertainFor(),
       () => this.hurry(),
@@ -166,6 +178,7 @@
         else if (e.e === 'stop') for (const t of e.p) add(job.live.get(t));
         else for (const l of job.live.values()) add(l);
       }
+      if (e.e === 'end') for (const [, , , cause] of e.p) this.ends[cause] = (this.ends[cause] ?? 0) + 1;
       if (e.e === 'job' || e.e === 'up' || e.e === 'gone') hurry = true;
       if (e.e === 'hire' || e.e === 'drop') cloud = true;
     }
@@ -317,11 +330,15 @@
         waiting: waiting.slice(0, 8).map((w) => `${w.job.spec.class} ${w.job.spec.id}: ${w.tasks}`),
         worstMs: this.worst,
         writeMs: Math.round(this.log.writes.ms / Math.max(1, this.log.writes.count)),
+        ends: this.ends,
       },
       'pulse',
     );
     this.worst = { round: 0, fold: 0 };
+    this.ends = {};
   }
+  /** Ends of tasks since the last pulse, by cause. */
+  private ends: Partial<Record<Cause, number>> = {};
   private pulseAt = -Infinity;
   /** The longest steps since the last pulse: nothing is answered meanwhile. */
   private worst = { round: 0, fold: 0 };
--- a/src/actors/workers.ts
+++ b/src/actors/workers.ts
@@ -24,8 +24,10 @@
 }
 
 const DIRECT_MS = 2000;
-/** Workers told of a new term at once: all of a large site would take a node's sockets. */
-const INTRODUCED_AT_ONCE = 150;
+/** Nothing ran here for so long: the node stood still, which says nothing about its machines. */
+const STOOD_STILL_MS = 2500;
+/** What queued while the node stood still is read within this time after. */
+const QUEUED_MS = 500;
 /** How long reports are answered without a certain lock: longer than an outage should last. */
 const HOLD_MOST_MS = 60_000;
 
@@ -38,7 +40,13 @@
   private readonly seen = new WeakSet<Live>();
   /** When a task was first shown running to us, while it is. */
   private readonly started = new WeakMap<Live, Steady>();
-  private readonly since: Steady;
+  /** Silence counts from here on at the earliest: the take-over, or the end of a standstill. */
+  private since: Steady;
+  private lastStep: Steady;
+  private wokeAt = -Infinity;
+  /** Machines with commands for which no direct call was free. */
+  private readonly queued = new Set<MachineId>();
+  private open = 0;
 
   constructor(
     private readonly state: State,
@@ -47,6 +55,8 @@
     private readonly clock: Clock,
     private readonly term: Term,
     private readonly reportS: number,
+    /** Direct calls open at once: every machine keeps a connection for its reports besides. */
+    private readonly callsMost: number,
     private readonly certain: () => boolean,
     private readonly uncertainMs: () => number,
     private readonly onFact: () => void,
@@ -54,7 +64,21 @@
     private readonly logger: Logger,
   ) {
     super();
-    this.since = clock.steady();
+    this.since = this.lastStep = clock.steady();
+  }
+
+  /**
+   * Guards against taking the node's own standstill for its machines' silence, and reports that queued
+   * meanwhile for signs of life.
+   */
+  private step(): void {
+    const now = this.clock.steady();
+    if (now - this.lastStep > STOOD_STILL_MS) {
+      this.logger.info({ ms: Math.round(now - this.lastStep) }, 'stood still');
+      this.since = now;
+      this.wokeAt = now;
+    }
+    this.lastStep = now;
   }
 
   /** Every live worker has reported to us, or one report period has passed. */
@@ -117,6 +141,7 @@
   }
 
   protected receive(m: WorkerMessage): void {
+    this.step();
     if (m.t === 'report') m.reply(this.report(m.report));
     else if (m.t === 'push') for (const id of m.machines) this.push(id);
     else this.tick();
@@ -149,7 +174,8 @@
     k.report = r;
     if (r.term === this.term) k.ours = true;
     // A copy that is late by a term proves nothing: a live worker shows ours with its next report.
-    if (heard && (k.ours || r.session > logged)) k.at = this.clock.steady();
+    if (heard && (k.ours || r.session > logged) && this.clock.steady() - this.wokeAt > QUEUED_MS)
+      k.at = this.clock.steady();
     for (const t of r.tasks) {
       const l = this.state.jobs.get(t.job)?.live.get(t.task);
       if (!l || l.attempt !== t.attempt || l.machine.id !== r.machine) continue;
@@ -198,6 +224,8 @@
     if (this.uncertainMs() > HOLD_MOST_MS) return null;
     if (!this.certain() || k.report !== r) return [];
     const { orders } = this.orders(k);
+    // The answer carries what waited for a direct call.
+    this.queued.delete(r.machine);
     for (const o of orders) if (o.op === 'start') k.sent.add(attemptKey(o.job, o.task, o.attempt));
     return orders;
   }
@@ -236,6 +264,12 @@
       return;
     }
     if (!this.certain()) return;
+    // Bounded however many machines a record touches: what is over it waits for a free call, or for
+    // the worker's next report.
+    if (this.open >= this.callsMost) {
+      this.queued.add(id);
+      return;
+    }
     // Only the answer to a report forgets: a direct message may be executed late.
     const orders = this.orders(k).orders.filter((o) => o.op !== 'forget');
     if (orders.length > 0) this.direct(k, m, orders);
@@ -249,10 +283,12 @@
       k.unsure.add(s);
     }
     k.busy = true;
+    this.open++;
     void this.call(m.addr, 'POST', '/orders', writeDirect(this.term, session, orders), DIRECT_MS).then(
       (a) => {
         if (this.stopped) return;
         k.busy = false;
+        this.open--;
         if (a && (a.status === 200 || a.status === 409)) {
           for (const s of starts) k.unsure.delete(s);
           const r = readReport(a.body);
@@ -262,29 +298,39 @@
           k.again = false;
           this.push(m.id);
         }
+        this.pushQueued();
       },
     );
   }
 
+  private pushQueued(): void {
+    for (const id of this.queued) {
+      if (this.open >= this.callsMost) return;
+      this.queued.delete(id);
+      this.push(id);
+    }
+  }
+
   private tick(): void {
     for (const id of this.known.keys()) if (!this.state.machines.has(id)) this.known.delete(id);
     // Workers still held by a former leader learn of the new term, and drop that one's answers.
     const now = this.clock.steady();
-    let calls = INTRODUCED_AT_ONCE - this.introducing.size;
     // Most come by themselves within a report's time, when a new leader has the most to do.
     const first = this.reportS * 1250 + 500;
     if (now - this.since > first && now - this.since < first + 20_000 && this.certain())
       for (const m of this.state.machines.values()) {
-        if (calls <= 0) break;
+        if (this.open >= this.callsMost) break;
         if (!isUp(m) || !m.addr || this.known.get(m.id)?.ours) continue;
         if (this.introducing.has(m.id)) continue;
         this.introducing.add(m.id);
-        calls--;
+        this.open++;
         void this.call(m.addr, 'POST', '/orders', writeDirect(this.term, m.session, []), DIRECT_MS).then(
           (a) => {
             if (this.stopped) return;
             // Who was not reached is told again.
             this.introducing.delete(m.id);
+            this.open--;
+            this.pushQueued();
             const r = a ? readReport(a.body) : null;
             if (r && r.machine === m.id) this.take(r, false);
             else this.logger.debug({ machine: m.id }, 'worker not reached');
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -43,7 +43,10 @@
     pino.destination({ dest: 2, sync: true }),
   );
   const rng = xoroshiro128plus(randomInt(0x7fffffff));
-  const call = httpCaller();
+  // Connections kept for later leave a fifth of the sockets to users, peers and what comes new.
+  let served = 0;
+  const sockets = settings.cluster.machine_limits.sockets;
+  const call = httpCaller((mine) => served + mine < sockets * 0.8);
   const metrics = new Metrics();
   const controller = new Controller(
     {
@@ -73,6 +76,10 @@
     logger,
     metrics.measure,
   );
+  http.on('connection', (s) => {
+    served++;
+    s.once('close', () => served--);
+  });
   return { logger, controller, links, http };
 }
 
--- a/src/io/http-client.ts
+++ b/src/io/http-client.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import type net from 'node:net';
 import { hostPort } from './address.js';
 
 export interface HttpAnswer {
@@ -18,9 +19,29 @@
 /** How long a connection is kept with nothing to do. */
 const FREE_MS = 8000;
 
-export function httpCaller(): HttpCall {
-  // A socket to each of a thousand workers, beside the one that it reports on, would be near the limit.
-  const agent = new http.Agent({ keepAlive: true, maxFreeSockets: 4, scheduling: 'lifo', timeout: FREE_MS });
+/** Keeps connections for later only while the node has sockets to spare. */
+class SparingAgent extends http.Agent {
+  private readonly mine = new Set<net.Socket>();
+
+  constructor(private readonly spare: (mine: number) => boolean) {
+    super({ keepAlive: true, maxFreeSockets: 4, scheduling: 'lifo', timeout: FREE_MS });
+  }
+
+  override keepSocketAlive(socket: net.Socket): boolean {
+    if (!this.mine.has(socket)) {
+      this.mine.add(socket);
+      socket.once('close', () => this.mine.delete(socket));
+    }
+    if (!this.spare(this.mine.size)) return false;
+    super.keepSocketAlive(socket);
+    return true;
+  }
+}
+
+/** spare: whether another connection may be kept, when so many are kept or were. */
+export function httpCaller(spare: (mine: number) => boolean = () => true): HttpCall {
+  // A socket to each of a thousand workers, beside the one that it reports on, would be over the limit.
+  const agent = new SparingAgent(spare);
   return (address, method, path, body, timeoutMs) =>
     new Promise((resolve) => {
       const text = body === undefined ? undefined : JSON.stringify(body);
--- a/src/wire/settings.ts
+++ b/src/wire/settings.ts
@@ -45,6 +45,7 @@
       txn_ops: z.number().int().min(4),
     }),
     cloud: z.object({ rps: positive, list_lag_s: z.number().min(0) }),
+    machine_limits: z.object({ sockets: z.number().int().min(50).default(1000) }).default({ sockets: 1000 }),
     time_bound_ms: z.number().min(0).default(1000),
   }),
 });
