--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -3,7 +3,7 @@
 import { claims, place, type Random } from '../core/placement.js';
 import type { Policy } from '../core/policy.js';
 import { preempt } from '../core/preemption.js';
-import { isUp, type Job, type Live, type State } from '../core/state.js';
+import { BROKEN, isUp, type Job, type Live, type State } from '../core/state.js';
 import {
   rank,
   type Cause,
@@ -225,6 +225,7 @@
       return at === null ? null : (this.clock.steady() - at) / 1000;
     };
     const order = claims(state, this.teams, hopeless);
+    entries.push(...this.release(order));
     const placed = place({
       claims: order,
       state,
@@ -343,6 +344,20 @@
   /** The longest steps since the last pulse: nothing is answered meanwhile. */
   private worst = { round: 0, fold: 0 };
 
+  /**
+   * Tasks that wait for a gang which lost one: they would wait on for gang_wait_s, and the next
+   * attempt with them. Those that still fetch go on, for the next attempt needs their images too.
+   */
+  private release(order: readonly { job: Job }[]): Entry[] {
+    const out: Entry[] = [];
+    for (const { job } of order) {
+      if (!job.spec.gang || !job.broken) continue;
+      const p = [...job.live.values()].filter((l) => !l.stop && this.workers.waiting(l)).map((l) => l.task);
+      if (p.length > 0) out.push({ e: 'stop', job: job.spec.id, p, grace: 0, why: BROKEN });
+    }
+    return out;
+  }
+
   /** A notice: what can save is stopped with time to save, gangs as a whole. */
   private evacuate(): Entry[] {
     const out: Entry[] = [];
--- a/src/actors/workers.ts
+++ b/src/actors/workers.ts
@@ -38,6 +38,8 @@
   private readonly telling = new Set<string>();
   /** Starts that their worker has shown to know. */
   private readonly seen = new WeakSet<Live>();
+  /** Tasks that were last shown waiting for the rest of their gang. */
+  private readonly ready = new WeakSet<Live>();
   /** When a task was first shown running to us, while it is. */
   private readonly started = new WeakMap<Live, Steady>();
   /** Silence counts from here on at the earliest: the take-over, or the end of a standstill. */
@@ -135,6 +137,11 @@
     return this.started.get(l) ?? null;
   }
 
+  /** Whether it only waits for the rest of its gang. */
+  waiting(l: Live): boolean {
+    return this.ready.has(l);
+  }
+
   /** Whether the worker has shown this attempt to be known to it. */
   shown(l: Live): boolean {
     return this.seen.has(l);
@@ -180,6 +187,8 @@
       const l = this.state.jobs.get(t.job)?.live.get(t.task);
       if (!l || l.attempt !== t.attempt || l.machine.id !== r.machine) continue;
       this.seen.add(l);
+      if (t.state === 'waiting') this.ready.add(l);
+      else this.ready.delete(l);
       if (t.state !== 'running' && t.state !== 'saving') this.started.delete(l);
       else if (!this.started.has(l)) this.started.set(l, this.clock.steady());
     }
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -305,6 +305,7 @@
   // Work follows what has room: on a busy day few machines do.
   let some = rooms.filter((r) => r.cpus > EPS);
   const freeing = rooms.filter((r) => r.soon.cpus > EPS);
+  const byId = new Map(rooms.map((r) => [r.m.id, r]));
   /** Needs that found no machine at all this round. */
   const noRoom = new InVain();
   const use = new Map([...state.teamUse].map(([k, v]) => [k, { ...v }]));
@@ -316,6 +317,13 @@
 
   for (const { job, guaranteed } of input.claims) {
     const spec = job.spec;
+    // Images are there, or a gang's slow tasks are still fetching: its other places wait for them.
+    for (const id of job.places) {
+      const r = byId.get(id);
+      if (!r || !fits(r, spec) || !allowed(job, r.m)) continue;
+      add(r, spec, -1);
+      keep.add(r.m);
+    }
     let want = state.waitingCount(job);
     if (want === 0 || job.notBefore > now) continue;
     const team = teams.find((t) => t.name === spec.team)!;
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -39,6 +39,8 @@
   /** Gangs: the number of the next attempt, and whether the present one lost a task. */
   gangTry: number;
   broken: boolean;
+  /** Gangs: where tasks of the broken attempt were ready, for the next one. */
+  places: MachineId[];
   errors: number;
   errorMachines: Set<MachineId>;
   notBefore: Wall;
@@ -76,6 +78,9 @@
 
 export type Final = { s: 'done' | 'cancelled'; done: number };
 
+/** Why tasks that wait for a gang which can't start any more are stopped. */
+export const BROKEN = 'broken';
+
 const num = (m: MachineId): number => Number(m.replace(/^\D+/, ''));
 
 /**
@@ -188,6 +193,7 @@
       done: 0,
       gangTry: 1,
       broken: false,
+      places: [],
       errors: 0,
       errorMachines: new Set(),
       notBefore: 0 as Wall,
@@ -301,9 +307,11 @@
     if (job.spec.gang) {
       if (cause === 'done') job.done = job.spec.tasks;
       else job.broken = true;
+      if (cause === 'alone' || l.stop?.why === BROKEN) job.places.push(m.id);
       if (job.live.size === 0 && job.broken) {
         job.gangTry++;
         job.broken = false;
+        job.places = [];
       }
     } else if (cause === 'done') job.done++;
     else if (!job.withdrawn) job.back.set(task, attempt + 1);
@@ -375,6 +383,7 @@
         ...j,
         back: new Map(j.back),
         errorMachines: new Set(j.errorMachines),
+        places: j.places ?? [],
         live: new Map(),
       };
       s.jobs.set(job.spec.id, job);
