--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -235,6 +235,7 @@
       sample: SAMPLE,
       usable,
       within: (c) => this.soonest.get(c) ?? 0,
+      fetching: (l) => this.workers.fetching(l),
       most: STARTS_MOST,
     });
     entries.push(...placed.entries);
--- a/src/actors/workers.ts
+++ b/src/actors/workers.ts
@@ -1,6 +1,16 @@
 import { attemptKey, commands, facts, type Seen } from '../core/recovery.js';
 import { isUp, type Job, type Live, type Machine, type State } from '../core/state.js';
-import type { Cause, Command, Entry, JobId, MachineId, Steady, Term, WorkerReport } from '../core/types.js';
+import type {
+  Cause,
+  Command,
+  Entry,
+  JobId,
+  MachineId,
+  Steady,
+  TaskState,
+  Term,
+  WorkerReport,
+} from '../core/types.js';
 import type { Clock } from '../io/clock.js';
 import type { HttpCall } from '../io/http-client.js';
 import type { Logger } from '../io/logger.js';
@@ -36,10 +46,8 @@
   private readonly known = new Map<MachineId, Known>();
   /** Facts told to the log and not yet in a record. */
   private readonly telling = new Set<string>();
-  /** Starts that their worker has shown to know. */
-  private readonly seen = new WeakSet<Live>();
-  /** Tasks that were last shown waiting for the rest of their gang. */
-  private readonly ready = new WeakSet<Live>();
+  /** What each task was last shown doing. */
+  private readonly doing = new WeakMap<Live, TaskState>();
   /** When a task was first shown running to us, while it is. */
   private readonly started = new WeakMap<Live, Steady>();
   /** Silence counts from here on at the earliest: the take-over, or the end of a standstill. */
@@ -139,12 +147,17 @@
 
   /** Whether it only waits for the rest of its gang. */
   waiting(l: Live): boolean {
-    return this.ready.has(l);
+    return this.doing.get(l) === 'waiting';
+  }
+
+  /** Whether it still waits for its image, as far as is known here. */
+  fetching(l: Live): boolean {
+    return (this.doing.get(l) ?? 'fetching') === 'fetching';
   }
 
   /** Whether the worker has shown this attempt to be known to it. */
   shown(l: Live): boolean {
-    return this.seen.has(l);
+    return this.doing.has(l);
   }
 
   protected receive(m: WorkerMessage): void {
@@ -186,9 +199,7 @@
     for (const t of r.tasks) {
       const l = this.state.jobs.get(t.job)?.live.get(t.task);
       if (!l || l.attempt !== t.attempt || l.machine.id !== r.machine) continue;
-      this.seen.add(l);
-      if (t.state === 'waiting') this.ready.add(l);
-      else this.ready.delete(l);
+      this.doing.set(l, t.state);
       if (t.state !== 'running' && t.state !== 'saving') this.started.delete(l);
       else if (!this.started.has(l)) this.started.set(l, this.clock.steady());
     }
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -1,4 +1,4 @@
-import { avoids, fitsType, onlyTypes, type Job, type Machine, type State } from './state.js';
+import { avoids, fitsType, onlyTypes, type Job, type Live, type Machine, type State } from './state.js';
 import type { Entry, JobSpec, MachineId, Team, Wall } from './types.js';
 import { pieces } from './pieces.js';
 import { add, fits, plus, type Resources } from './resources.js';
@@ -25,6 +25,8 @@
   usable: Machine[];
   /** Seconds in which jobs of a class should be done; 0 where their start is what counts. */
   within: (c: string) => number;
+  /** Whether a task still waits for its image. */
+  fetching: (l: Live) => boolean;
   /** At most this many starts in one round. */
   most: number;
 }
@@ -45,6 +47,10 @@
   m: Machine;
   /** Images that this round's own placements bring here. */
   coming: Set<string>;
+  /** Images that are being fetched, and the seconds that each needs yet; they may share the machine's rate. */
+  pulls: Map<string, number>;
+  /** A gang is fetching: all its machines wait for the slowest. */
+  gangPulls: boolean;
   /** GB a second. */
   fetch: number;
   total: number;
@@ -122,12 +128,24 @@
   }
 }
 
+/** Seconds until the image is there, if what is being fetched shares the machine's rate. */
+function imageWait(r: Room, j: Job): number {
+  const has = hasImage(r, j);
+  if (has && !r.pulls.has(j.spec.image)) return 0;
+  let s = has ? 0 : j.spec.imageGb / r.fetch;
+  for (const left of r.pulls.values()) s += left;
+  return s;
+}
+
+/** Guards a gang's fetch, which all its machines wait for, against sharing the rate with another. */
+const disturbs = (r: Room, j: Job): boolean => r.gangPulls && !hasImage(r, j);
+
 /**
  * Smaller is better, in about seconds: the image's fetch, waking a machine that could be given
  * back, paying the full price, and the room left over.
  */
 const score = (r: Room, j: Job, fragile: boolean): number =>
-  (hasImage(r, j) ? 0 : j.spec.imageGb / r.fetch) +
+  imageWait(r, j) +
   (r.awake ? 0 : 12) +
   // A gang loses with any one of its machines what all of them did.
   (r.m.spot ? (j.spec.gang ? Math.min(j.spec.tasks, 12) : fragile ? 15 : 0) : 4) +
@@ -288,13 +306,24 @@
     const t = state.types.get(m.type);
     if (!t) continue;
     const soon = { cpus: 0, gpus: 0, mem: 0 };
-    for (const l of m.live) if (l.stop) add(soon, l.job.spec);
+    const pulls = new Map<string, number>();
+    let gangPulls = false;
+    for (const l of m.live) {
+      if (l.stop) add(soon, l.job.spec);
+      else if (input.fetching(l)) {
+        const s = l.job.spec;
+        pulls.set(s.image, Math.max(1, s.imageGb / t.fetch - (now - l.at) / 1000));
+        gangPulls ||= s.gang;
+      }
+    }
     rooms.push({
       m,
       cpus: t.cpus - m.cpus,
       gpus: t.gpus - m.gpus,
       mem: t.mem - m.mem,
       coming: new Set(),
+      pulls,
+      gangPulls,
       soon,
       fetch: t.fetch,
       total: t.cpus,
@@ -335,7 +364,7 @@
     if (want === 0 || (spec.gang && want < spec.tasks)) continue;
 
     const inVain = noRoom.has(where(spec), spec);
-    const mine = (r: Room): boolean => allowed(job, r.m) && !avoids(job, r.m.id);
+    const mine = (r: Room): boolean => allowed(job, r.m) && !avoids(job, r.m.id) && !disturbs(r, job);
     const open = inVain ? [] : some.filter((r) => fits(r, spec) && mine(r));
     if (open.length === 0 && !inVain && job.errorMachines.size === 0) noRoom.add(where(spec), spec);
     const fragile = cannotRepeat(job, now, input.within(spec.class));
@@ -372,6 +401,10 @@
         : state.waiting(job, want);
       const p: [number, number, MachineId][] = [];
       for (const { r, n } of shares) {
+        if (!hasImage(r, job)) {
+          r.pulls.set(spec.image, spec.imageGb / r.fetch);
+          r.gangPulls ||= spec.gang;
+        }
         r.coming.add(spec.image);
         r.awake = true;
         // Guards against giving a machine back in the round that gives it work.
--- a/test/preemption.test.ts
+++ b/test/preemption.test.ts
@@ -53,6 +53,7 @@
       sample: 5,
       usable,
       within: () => 0,
+      fetching: () => false,
       most: 100,
     });
     const p = preempt({
