Nodes without a leader answer from the log and leave the balancer; standstill counts like a take-over

While connections between controllers were refused, followers answered 503 to everything for eight seconds and more. Now a question about a known job is answered from the log, read on to that moment (reads shared, 200 ms apart), and a node is unready once the state service names a leader that outlived its lease and no link to it can be had. A leader without state service and peers is unready too.

--- a/src/actors/admission.ts
+++ b/src/actors/admission.ts
@@ -29,6 +29,19 @@
   return f ? { status: 200, body: writeStanding(id, f.s, { done: f.done, running: 0 }) } : null;
 }
 
+/** What the log says of a job; null when it knows no such job. */
+export function standing(state: State, id: JobId, runningOf: (job: Job) => number): Reply | null {
+  const f = finalAnswer(state, id);
+  if (f) return f;
+  const job = state.jobs.get(id);
+  if (!job) return null;
+  const running = runningOf(job);
+  const s: Standing = running > 0 ? 'running' : 'queued';
+  return { status: 200, body: writeStanding(id, s, { done: job.done, running }) };
+}
+
+export const noSuchJob: Reply = { status: 404, body: { error: 'no such job' } };
+
 const ANSWER_MS = 1500;
 const STUCK_MS = 700;
 const QUEUE_MOST = 400;
@@ -57,13 +70,7 @@
   }
 
   private standing(id: JobId): Reply | null {
-    const f = finalAnswer(this.state, id);
-    if (f) return f;
-    const job = this.state.jobs.get(id);
-    if (!job) return null;
-    const running = this.running(job);
-    const s: Standing = running > 0 ? 'running' : 'queued';
-    return { status: 200, body: writeStanding(id, s, { done: job.done, running }) };
+    return standing(this.state, id, this.running);
   }
 
   private show(id: JobId): Reply {
@@ -71,7 +78,7 @@
     if (f) return f;
     // Guards forgotten and older answers: only a leader that holds its lock may say what can change.
     if (!this.certain()) return later('not certain to lead');
-    return this.standing(id) ?? { status: 404, body: { error: 'no such job' } };
+    return this.standing(id) ?? noSuchJob;
   }
 
   private submit(spec: JobSpec, reply: (r: Reply) => void): void {
@@ -97,9 +104,7 @@
     if (!this.certain()) return reply(later('not certain to lead'));
     if (!this.state.jobs.has(id)) {
       // Its submission may be on its way into a record.
-      return reply(
-        this.open.has(`s ${id}`) ? later('being submitted') : { status: 404, body: { error: 'no such job' } },
-      );
+      return reply(this.open.has(`s ${id}`) ? later('being submitted') : noSuchJob);
     }
     this.write(
       `w ${id}`,
--- a/src/actors/controller.ts
+++ b/src/actors/controller.ts
@@ -2,7 +2,7 @@
 import type { Peers, PeerAnswer, PeerAsk, PeerStatus } from '../io/peers.js';
 import { sleep } from '../io/clock.js';
 import { LEADER, type LeaderValue } from '../wire/keys.js';
-import { finalAnswer, later, type Reply, type UserRequest } from './admission.js';
+import { finalAnswer, later, noSuchJob, standing, type Reply, type UserRequest } from './admission.js';
 import { Follower } from './follower.js';
 import { LeaderActor, type LeaderPorts } from './leader.js';
 import { Lock } from './lock.js';
@@ -10,6 +10,8 @@
 export const LOCK_MS = 2500;
 const DEAF_MS = 5500;
 const HOLD_OFF_MS = 8000;
+/** Longer than a dead leader's lock lasts. */
+const APART_MS = LOCK_MS + 700;
 
 export type Hello =
   { answer: 'stay'; term: Term; orders: Command[] } | { answer: 'elsewhere'; leader: string | null };
@@ -27,6 +29,8 @@
   /** Workers that asked here while another led, and when. */
   private readonly callers = new Map<string, number>();
   private leaderSeen = -Infinity;
+  /** When this node last had a link to the leader, or knew of none. */
+  private linkedAt = -Infinity;
 
   constructor(
     private readonly ports: LeaderPorts,
@@ -56,6 +60,8 @@
   private watchdog(): void {
     const { clock } = this.ports;
     clock.after(700, () => this.watchdog());
+    const to = this.otherLeader();
+    if (!to || this.peers?.linked(to)) this.linkedAt = clock.steady();
     if (this.leading && this.deaf(this.leading)) {
       this.notBefore = clock.steady() + HOLD_OFF_MS;
       this.lock.release('no worker reaches this node');
@@ -179,7 +185,15 @@
   /** Whether this node can take requests. Slow to say no: each removal costs a longer pause. */
   ready(): boolean {
     if (!this.follower.loaded) return false;
-    return this.leading !== null || this.ports.clock.steady() - this.leaderSeen < 8000;
+    const now = this.ports.clock.steady();
+    // A leader without state service and peers can do nothing for users; with peers it is an outage for all.
+    if (this.leading)
+      return (
+        this.lock.uncertainFor() < APART_MS || (this.peers?.statuses() ?? []).some((p) => p.age < APART_MS)
+      );
+    // The state service names a leader that outlived its lease, and no link to it can be had.
+    if (now - this.linkedAt > APART_MS && this.follower.lastAnswer - this.linkedAt > APART_MS) return false;
+    return now - this.leaderSeen < 8000;
   }
 
   hello(r: WorkerReport, reply: (h: Hello) => void): void {
@@ -210,14 +224,28 @@
     const f = finalAnswer(this.follower.state, ask.job);
     if (f) return f;
     const to = this.otherLeader();
-    if (!to || !this.peers) return later('no leader known');
-    const a = await this.peers.ask(to, {
-      kind: ask.kind,
-      job: ask.job,
-      spec: ask.spec ? JSON.stringify(ask.spec) : undefined,
-    });
-    if (!a) return later('the leader does not answer');
-    return { status: a.status, body: JSON.parse(a.body) as object, retryAfter: a.retryAfter || undefined };
+    const a =
+      to && this.peers
+        ? await this.peers.ask(to, {
+            kind: ask.kind,
+            job: ask.job,
+            spec: ask.spec ? JSON.stringify(ask.spec) : undefined,
+          })
+        : null;
+    if (a && a.status !== 503)
+      return { status: a.status, body: JSON.parse(a.body) as object, retryAfter: a.retryAfter || undefined };
+    return (await this.fromLog(ask)) ?? later(to ? 'the leader does not answer' : 'no leader known');
+  }
+
+  /**
+   * Guards forgotten and older answers while no leader is reached: the log, read on to this moment,
+   * says what any leader would. What needs a record is refused.
+   */
+  private async fromLog(ask: { kind: UserRequest['kind']; job: JobId }): Promise<Reply | null> {
+    const { follower } = this;
+    const known = ask.kind === 'submit' && follower.state.jobs.has(ask.job);
+    if ((ask.kind !== 'show' && !known) || !(await follower.fresh())) return null;
+    return standing(follower.state, ask.job, (j) => j.live.size) ?? (known ? null : noSuchJob);
   }
 
   private here(ask: { kind: UserRequest['kind']; job: JobId; spec?: JobSpec }): Promise<Reply> | null {
--- a/src/actors/follower.ts
+++ b/src/actors/follower.ts
@@ -15,6 +15,9 @@
 import type { Revision, Store } from '../wire/store.js';
 import { unpack } from './snapshot.js';
 
+/** Reads for users' questions keep this distance. */
+const READ_APART_MS = 200;
+
 /** Follows the log by watch, so that a take-over finds the state at hand. */
 export class Follower {
   state = new State();
@@ -140,6 +143,43 @@
     return true;
   }
 
+  /**
+   * Reads on to what the log holds at this moment, so that this node may say what can change though it
+   * reaches no leader. Questions share reads, and reads keep a distance. False when it could not be done.
+   */
+  fresh(): Promise<boolean> {
+    if (!this.reading) return (this.reading = this.read());
+    // The read under way may have begun before this question.
+    this.nextRead ??= this.reading.then(() => {
+      this.nextRead = null;
+      return (this.reading = this.read());
+    });
+    return this.nextRead;
+  }
+  private reading: Promise<boolean> | null = null;
+  private nextRead: Promise<boolean> | null = null;
+  private readAt = -Infinity;
+
+  private async read(): Promise<boolean> {
+    await sleep(this.clock, Math.max(0, this.readAt + READ_APART_MS - this.clock.steady()));
+    this.readAt = this.clock.steady();
+    const ok = this.loaded && !this.paused && (await this.readOn());
+    this.reading = null;
+    return ok;
+  }
+
+  private async readOn(): Promise<boolean> {
+    const rest = await this.store.list(RECORDS, recordKey(this.state.next - 1));
+    const h = rest?.items.length === 0 ? await this.store.get(HEAD) : null;
+    // Guards the state of a node that began to lead meanwhile: only its pen applies records then.
+    if (!rest || h === undefined || this.paused || !this.loaded) return false;
+    this.lastAnswer = this.clock.steady();
+    for (const i of rest.items) this.take(recordOf(i.key), i.value as LogRecord);
+    // Records that were folded meanwhile are read anew with the snapshot.
+    if (h && (h.value as HeadValue).upto >= this.state.next) this.loaded = false;
+    return this.loaded;
+  }
+
   /** Reads what was written after the last record known here. */
   async catchUp(): Promise<boolean> {
     const rest = await this.store.list(RECORDS, recordKey(this.state.next - 1));
--- a/src/actors/workers.ts
+++ b/src/actors/workers.ts
@@ -94,7 +94,10 @@
   /** Every live worker has reported to us, or one report period has passed. */
   settled(): boolean {
     if (this.clock.steady() - this.since > this.reportS * 1250 + 500) return true;
-    for (const m of this.state.machines.values()) if (isUp(m) && !this.known.get(m.id)?.ours) return false;
+    for (const m of this.state.machines.values()) {
+      const k = this.known.get(m.id);
+      if (isUp(m) && !(k?.ours && k.at >= this.since)) return false;
+    }
     return true;
   }
 
@@ -121,6 +124,7 @@
 
   /** Whether none of at least two machines at work has been heard for so long. */
   deaf(ms: number): boolean {
+    this.step();
     if (this.clock.steady() - this.since < ms) return false;
     let up = 0;
     for (const m of this.state.machines.values()) if (isUp(m)) up++;
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -364,9 +364,10 @@
     if (want === 0 || (spec.gang && want < spec.tasks)) continue;
 
     const inVain = noRoom.has(where(spec), spec);
-    const mine = (r: Room): boolean => allowed(job, r.m) && !avoids(job, r.m.id) && !disturbs(r, job);
-    const open = inVain ? [] : some.filter((r) => fits(r, spec) && mine(r));
-    if (open.length === 0 && !inVain && job.errorMachines.size === 0) noRoom.add(where(spec), spec);
+    const mine = (r: Room): boolean => allowed(job, r.m) && !avoids(job, r.m.id);
+    const fitting = inVain ? [] : some.filter((r) => fits(r, spec) && mine(r));
+    if (fitting.length === 0 && !inVain && job.errorMachines.size === 0) noRoom.add(where(spec), spec);
+    const open = fitting.filter((r) => !disturbs(r, job));
     const fragile = cannotRepeat(job, now, input.within(spec.class));
     const perZone = new Map<string, number>();
     if (spec.oneZone || spec.spread)
--- a/src/io/peers.ts
+++ b/src/io/peers.ts
@@ -31,6 +31,8 @@
 
 export interface Peers {
   ask(node: string, ask: PeerAsk): Promise<PeerAnswer | null>;
+  /** Whether a connection to the node stands. */
+  linked(node: string): boolean;
   /** The last status of each peer and its age in milliseconds. */
   statuses(): { status: PeerStatus; age: number }[];
 }
@@ -232,6 +234,10 @@
     });
   }
 
+  linked(node: string): boolean {
+    return this.open.has(node);
+  }
+
   statuses(): { status: PeerStatus; age: number }[] {
     const now = performance.now();
     return [...this.known.values()].map((k) => ({ status: k.status, age: now - k.at }));
--- a/test/fakes/clock.ts
+++ b/test/fakes/clock.ts
@@ -53,6 +53,8 @@
 /** One node's clocks: the steady one drifts, the wall clock is off, and a dead node has no timers. */
 export class NodeClock implements Clock {
   dead = false;
+  /** Until then the process stands still, while its clocks run on. */
+  frozenUntil = 0;
   constructor(
     private readonly time: VirtualTime,
     private readonly rate: number,
@@ -65,8 +67,12 @@
     return Math.round(1_700_000_000_000 + this.time.now + this.off) as Wall;
   }
   after(ms: number, run: () => void): Cancel {
-    return this.time.after(ms / this.rate, () => {
-      if (!this.dead) run();
-    });
+    let cancel: Cancel = () => {};
+    const due = (): void => {
+      if (this.frozenUntil > this.time.now) cancel = this.time.after(this.frozenUntil - this.time.now, due);
+      else if (!this.dead) run();
+    };
+    cancel = this.time.after(ms / this.rate, due);
+    return () => cancel();
   }
 }
--- a/test/fakes/network.ts
+++ b/test/fakes/network.ts
@@ -34,6 +34,19 @@
     this.cuts.push({ a, b, hold, until: this.time.now + ms });
   }
 
+  /** A host that stands still: what comes meanwhile waits in its sockets. */
+  freeze(host: string, ms: number): void {
+    this.frozen.set(host, this.time.now + ms);
+  }
+  private readonly frozen = new Map<string, number>();
+
+  /** Runs at once, or when the host goes on. */
+  private awake(address: string, run: () => void): void {
+    const until = this.frozen.get(address.replace(/:.*/, '')) ?? 0;
+    if (until > this.time.now) this.time.after(until - this.time.now, run);
+    else run();
+  }
+
   deafen(host: string, ms: number): void {
     this.deaf.set(host, this.time.now + ms);
   }
@@ -69,9 +82,11 @@
           open = false;
           resolve(a);
         };
-        this.time.after(timeoutMs, () => end(null));
+        this.time.after(timeoutMs, () => this.awake(from, () => end(null)));
+        const late = (a: string): boolean => (this.frozen.get(a.replace(/:.*/, '')) ?? 0) > this.time.now;
         const text = body === undefined ? undefined : JSON.stringify(body);
         const arrive = (): void => {
+          if (late(address)) return void this.awake(address, arrive);
           const cut = this.cutBetween(from, address);
           if (cut) {
             if (cut.hold) this.time.after(cut.until - this.time.now + 1, arrive);
@@ -87,7 +102,9 @@
               const back = JSON.stringify(a.body);
               this.time.after(this.delay(), () => {
                 if (this.cutBetween(from, address) || !this.hears(from)) return;
-                end({ status: a.status, body: back === undefined ? undefined : JSON.parse(back) });
+                this.awake(from, () =>
+                  end({ status: a.status, body: back === undefined ? undefined : JSON.parse(back) }),
+                );
               });
             },
           );
--- a/test/fakes/worker.ts
+++ b/test/fakes/worker.ts
@@ -39,6 +39,7 @@
   tasks = new Map<string, WorkerTask>();
   alive = true;
   faulty = false;
+  slow = 1;
   notice: number | null = null;
   private seq = 0;
   private began: number;
@@ -195,7 +196,7 @@
     const mem = live.reduce((a, x) => a + x.job.mem_gb, job.mem_gb);
     if (cpus > type.cpus + 1e-6 || mem > type.mem + 1e-6) return this.exit(t, 'full');
     this.changed();
-    this.later(t, this.images.has(job.kit) ? 5 : (job.image_gb / type.fetch) * 1000, () => {
+    this.later(t, this.images.has(job.kit) ? 5 : (job.image_gb / type.fetch) * 1000 * this.slow, () => {
       this.images.add(job.kit);
       this.w.checker.start(job.name_id, t.task, this.place);
       if (this.faulty || this.w.failing.has(job.name_id))
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -77,6 +77,8 @@
   readonly nodes: NodeHere[] = [];
   /** What each job's tasks take, by the job's name. */
   runMs: (j: JobOnWire) => number = (j) => j.reckon_s * 1000;
+  /** How many times as long as usual a machine fetches images. */
+  fetchTimes: (machine: string) => number = () => 1;
   /** Jobs submitted with a mistake: their tasks fail on every machine. */
   readonly failing = new Set<string>();
   private readonly rng;
@@ -117,6 +119,7 @@
           this.network.caller(p.id, () => true),
           ww,
         );
+        w.slow = this.fetchTimes(p.id);
         this.workers.set(p.id, w);
         this.network.listen(addr, (_m, path, body) => w.handle(path, body));
         return w;
@@ -183,9 +186,13 @@
       return controller.asked(body as PeerAsk).then((a) => ({ status: 200, body: a }));
     });
     const known = new Map<string, { status: PeerStatus; at: number }>();
+    const linked = (node: string): boolean => this.time.now - (known.get(node)?.at ?? -Infinity) < 1500;
     const peers: Peers = {
       ask: async (node, ask) =>
-        ((await call(`${node}:81`, 'POST', '/ask', ask, 1500))?.body as PeerAnswer | undefined) ?? null,
+        !linked(node)
+          ? null
+          : (((await call(`${node}:81`, 'POST', '/ask', ask, 1500))?.body as PeerAnswer | undefined) ?? null),
+      linked,
       statuses: () => [...known.values()].map((k) => ({ status: k.status, age: this.time.now - k.at })),
     };
     const gossip = (): void => {
@@ -213,6 +220,12 @@
     this.time.after(backMs, () => this.boot(i));
   }
 
+  /** A node's process stands still while its clocks run on. */
+  freeze(i: number, ms: number): void {
+    this.nodes[i]!.clock.frozenUntil = this.time.now + ms;
+    this.network.freeze(`n${i}`, ms);
+  }
+
   leader(): number {
     return this.nodes.findIndex((n) => !n.clock.dead && n.controller.status().leading);
   }
--- a/test/preemption.test.ts
+++ b/test/preemption.test.ts
@@ -41,7 +41,7 @@
   write([{ e: 'types', types: [box] }]);
   write([{ e: 'up', m: 'vm-1' as MachineId, addr: 'x', type: 'box', zone: 'a', spot: false, s: 1 as never }]);
   write(entries);
-  const round = (now = 1e6) => {
+  const round = (now = 1e6, fetching = false) => {
     const usable = [...state.machines.values()];
     const order = claims(state, teams, () => false);
     const placed = place({
@@ -53,7 +53,7 @@
       sample: 5,
       usable,
       within: () => 0,
-      fetching: () => false,
+      fetching: () => fetching,
       most: 100,
     });
     const p = preempt({
@@ -73,6 +73,19 @@
   return { state, write, round };
 }
 
+describe('a gang that fetches its image', () => {
+  it('shares its machine with no other fetch, but with work of the same image', () => {
+    const w = world([{ e: 'job', spec: spec(1, { gang: true, cpus: 5 }) }]);
+    expect(w.round().starts).toMatchObject([{ job: 'wk-1' }]);
+    w.write([
+      { e: 'job', spec: spec(2, { cpus: 1, image: 'other' }) },
+      { e: 'job', spec: spec(3, { cpus: 1 }) },
+    ]);
+    expect(w.round(1e6, true).starts).toMatchObject([{ job: 'wk-3' }]);
+    expect(w.round(1e6, false).starts).toMatchObject([{ job: 'wk-2' }]);
+  });
+});
+
 describe('room for a claim', () => {
   it('is drained for a gang that waits for long: half-empty machines get no lesser work', () => {
     const w = world([{ e: 'job', spec: spec(1, { team: 'blue', cpus: 4 }) }]);
--- a/test/stories.test.ts
+++ b/test/stories.test.ts
@@ -302,7 +302,92 @@
   });
 });
 
+describe('a controller stands still', () => {
+  it('a leader gives way, commands nothing on waking, and is ready again', async () => {
+    const w = await begun(60);
+    w.user(w.job({ shifts: 16, reckon_s: 30 }));
+    w.user(w.job({ shape: 'ensemble', shifts: 2, cpus: 6, reckon_s: 40 }));
+    await w.time.run(25_000);
+    const was = w.leader();
+    const sessions = [...w.workers.values()].map((x) => x.session);
+    w.freeze(was, 22_000);
+    await w.time.run(12_000);
+    expect(w.leader()).not.toBe(was);
+    expect(w.leader()).toBeGreaterThanOrEqual(0);
+    await w.time.run(13_000);
+    expect(w.nodes[was]!.controller.ready()).toBe(true);
+    expect([...w.workers.values()].map((x) => x.session)).toEqual(sessions);
+    await over(w, 200);
+  });
+
+  it('a leader whose lock outlives it takes no silence of its own for that of machines', async () => {
+    const w = await begun(61);
+    w.user(w.job({ shifts: 16, reckon_s: 60 }));
+    await w.time.run(30_000);
+    const was = w.leader();
+    const rented = w.cloud.rentals;
+    const here = [...w.cloud.machines.keys()];
+    // The outage gives the leader's lease its full time again after the standstill.
+    w.state.outage(28_000);
+    w.freeze(was, 27_000);
+    await w.time.run(36_000);
+    expect(w.leader()).toBe(was);
+    expect([...w.cloud.machines.keys()]).toEqual(here);
+    expect(w.cloud.rentals).toBe(rented);
+    await over(w, 300);
+  });
+});
+
+describe('connections between controllers are refused', () => {
+  it('every accepted job stays answerable everywhere, and nodes without a leader leave the balancer', async () => {
+    const w = await begun(62);
+    const j = w.job({ shifts: 12, reckon_s: 25 });
+    w.user(j);
+    await w.time.run(20_000);
+    const was = w.leader();
+    for (const n of [0, 1, 2]) w.network.cut(`n${n}:81`, '*', 40_000);
+    await w.time.run(5500);
+    for (const n of [0, 1, 2]) {
+      expect(w.nodes[n]!.controller.ready()).toBe(n === was);
+      expect((await settle(w, w.ask('show', j.name_id, undefined, n))).status).toBe(200);
+      expect((await settle(w, w.ask('submit', j.name_id, j, n))).status).toBe(200);
+      expect((await settle(w, w.ask('show', 'wk-999999', undefined, n))).status).toBe(404);
+    }
+    const other = w.job();
+    w.checker.submitted(other);
+    const from = w.time.now;
+    const refused = await settle(w, w.ask('submit', other.name_id, other, (was + 1) % 3));
+    expect([refused.status, w.time.now - from < 300]).toEqual([503, true]);
+    expect((await settle(w, w.ask('submit', other.name_id, other, was))).status).toBe(201);
+    for (const n of [0, 1, 2])
+      expect((await settle(w, w.ask('show', other.name_id, undefined, n))).status).toBe(200);
+    w.user(other);
+    await w.time.run(38_000);
+    expect(w.leader()).toBe(was);
+    for (const n of [0, 1, 2]) expect(w.nodes[n]!.controller.ready()).toBe(true);
+    await over(w, 200);
+  });
+});
+
 describe('large work', () => {
+  it('a gang whose machines fetch unequally fast starts when the slowest has its image', async () => {
+    const w = new World(63);
+    for (const z of ['a', 'b']) w.cloud.room.set(`box|${z}|true`, 0);
+    w.cloud.room.set('box|a|false', 3);
+    w.cloud.room.set('box|b|false', 0);
+    w.fetchTimes = (m) => (m === 'vm-000002' ? 60 : 1);
+    await w.started();
+    const gang = w.job({ shape: 'ensemble', shifts: 3, cpus: 8, urgency: 'high', reckon_s: 10 });
+    w.user(gang);
+    await w.time.run(25_000);
+    // Lesser work would take the places of those that gave up waiting.
+    for (let i = 0; i < 20; i++) w.user(w.job({ desk: 'blue', urgency: 'low', cpus: 4, reckon_s: 15 }));
+    // A boot of 15 s at most, a fetch of 60 s, and a run of 10 s.
+    await w.time.run(75_000);
+    expect(w.checker.standing(gang.name_id)).toBe('done');
+    await over(w, 900);
+  });
+
   it('a gang of many whole machines does not starve behind small work', async () => {
     const w = new World(54);
     for (const z of ['a', 'b']) {
