Jobs of which nothing ever started come first after 150 s; stories of many falling together

Cause: claims are by priority, so under lasting demand a low class outside its guarantee never began (new story, seen to fail without it; seen to pass with it).

--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -51,6 +51,11 @@
 /** Direct calls to workers, of a node's sockets: most of those hold the workers' own connections. */
 const callsMost = (sockets: number): number => Math.max(8, Math.floor(sockets / 12));
 
+/** Guards the lowest class, and the largest jobs of any, against waiting for ever behind what is more urgent. */
+const STARVING_MS = 150_000;
+const neverStarted = (j: Job): boolean =>
+  j.fresh === 0 && j.done === 0 && j.live.size === 0 && j.gangTry === 1;
+
 type LeaderMessage = { t: 'round' };
 
 /** One term of leading: the log's pen, and the rounds that decide what runs where. */
@@ -224,7 +229,7 @@
       const at = this.workers.startedAt(l);
       return at === null ? null : (this.clock.steady() - at) / 1000;
     };
-    const order = claims(state, this.teams, hopeless);
+    const order = claims(state, this.teams, hopeless, (j) => now - j.at > STARVING_MS && neverStarted(j));
     entries.push(...this.release(order));
     const placed = place({
       claims: order,
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -65,14 +65,16 @@
 const hasImage = (r: Room, j: Job): boolean => r.m.images.has(j.spec.image) || r.coming.has(j.spec.image);
 
 /**
- * Jobs in order of their claim: guarantees first, then priority, then those that can still be in
- * time, then age.
+ * Jobs in order of their claim: guarantees first, then what never got a place, then priority, then
+ * those that can still be in time, then age.
  */
 export function claims(
   state: State,
   teams: readonly Team[],
   /** Jobs that will miss their aim whatever is done now. */
   hopeless: (j: Job) => boolean,
+  /** Jobs of which nothing ever started, for too long: they come before what is only more urgent. */
+  starving: (j: Job) => boolean = () => false,
 ): Claim[] {
   const sum = new Map<string, { cpus: number; gpus: number }>();
   const out: Claim[] = [];
@@ -90,6 +92,7 @@
   return out.sort(
     (a, b) =>
       Number(b.guaranteed) - Number(a.guaranteed) ||
+      Number(starving(b.job)) - Number(starving(a.job)) ||
       rank[b.job.spec.priority] - rank[a.job.spec.priority] ||
       Number(hopeless(a.job)) - Number(hopeless(b.job)) ||
       a.job.order - b.job.order,
--- a/test/fakes/checker.ts
+++ b/test/fakes/checker.ts
@@ -65,8 +65,15 @@
     this.asked.add(id);
   }
 
+  /** How many tasks of a job were started. */
+  started(id: string): number {
+    return this.startsOf.get(id) ?? 0;
+  }
+  private readonly startsOf = new Map<string, number>();
+
   start(id: string, task: number, m: Place): void {
     this.starts++;
+    this.startsOf.set(id, this.started(id) + 1);
     const key = `${id}/${task}`;
     const at = this.present.get(key) ?? new Map<string, Place>();
     this.present.set(key, at);
--- a/test/fakes/network.ts
+++ b/test/fakes/network.ts
@@ -47,6 +47,15 @@
     else run();
   }
 
+  /** A zone that is cut off: its hosts reach each other and nobody else. */
+  partition(inside: (host: string) => boolean, ms: number, hold = false): void {
+    this.partitions.push({ inside, hold, until: this.time.now + ms });
+  }
+  private readonly partitions: { inside: (host: string) => boolean; hold: boolean; until: number }[] = [];
+
+  /** Requests from a host to machines that are open at once, and the most there were. */
+  readonly calls = new Map<string, { open: number; most: number }>();
+
   deafen(host: string, ms: number): void {
     this.deaf.set(host, this.time.now + ms);
   }
@@ -64,8 +73,11 @@
 
   private cutBetween(x: string, y: string): { hold: boolean; until: number } | undefined {
     const is = (p: string, q: string): boolean => p === '*' || p === q;
-    return this.cuts.find(
-      (c) => c.until > this.time.now && ((is(c.a, x) && is(c.b, y)) || (is(c.a, y) && is(c.b, x))),
+    const host = (a: string): string => a.replace(/:.*/, '');
+    return (
+      this.cuts.find(
+        (c) => c.until > this.time.now && ((is(c.a, x) && is(c.b, y)) || (is(c.a, y) && is(c.b, x))),
+      ) ?? this.partitions.find((p) => p.until > this.time.now && p.inside(host(x)) !== p.inside(host(y)))
     );
   }
 
@@ -77,9 +89,14 @@
     return (address, method, path, body, timeoutMs) =>
       new Promise((resolve) => {
         let open = true;
+        const calls = this.calls.get(from) ?? { open: 0, most: 0 };
+        this.calls.set(from, calls);
+        if (address.startsWith('vm-')) calls.most = Math.max(calls.most, ++calls.open);
         const end = (a: HttpAnswer | null): void => {
-          if (!open || !alive()) return;
+          if (!open) return;
           open = false;
+          if (address.startsWith('vm-')) calls.open--;
+          if (!alive()) return;
           resolve(a);
         };
         this.time.after(timeoutMs, () => this.awake(from, () => end(null)));
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -37,7 +37,10 @@
   { name: 'blue', cpus: 16, cpus_max: 48, gpus: 0, gpus_max: 0 },
 ];
 
-export function settingsFor(i: number, n = 3): Settings {
+/** What a site sets in place of the small one's settings. */
+export type Site = Partial<Record<'teams' | 'state' | 'cloud' | 'machine_limits' | 'workers', unknown>>;
+
+export function settingsFor(i: number, n = 3, site: Site = {}): Settings {
   return readSettings({
     node: `n${i}`,
     area: 'a',
@@ -55,6 +58,7 @@
       state: { rps: 120, write_rps: 50, value_kb: 8, txn_ops: 24 },
       cloud: { rps: 5, list_lag_s: 6 },
       time_bound_ms: 250,
+      ...site,
     },
   });
 }
@@ -84,10 +88,14 @@
   private readonly rng;
   private ids = 1;
 
-  constructor(seed: number, types: MachineType[] = [box]) {
+  constructor(
+    seed: number,
+    types: MachineType[] = [box],
+    private readonly site: Site = {},
+  ) {
     this.rng = xoroshiro128plus(seed);
     this.network = new FakeNetwork(this.time, () => this.random());
-    const s = settingsFor(0).cluster;
+    const s = settingsFor(0, 3, site).cluster;
     this.state = new FakeStateService(this.time, s.state);
     this.checker = new Checker(
       () => this.time.now,
@@ -157,7 +165,7 @@
         call,
         random: { below: (n) => uniformInt(rng, 0, n - 1) },
         logger: silent,
-        settings: settingsFor(i),
+        settings: settingsFor(i, 3, this.site),
         policy: defaultPolicy,
         measure: () => {},
         deflate: (text) => Promise.resolve(deflateSync(text)),
