--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -259,15 +259,7 @@
     this.use(l, 1);
     m.images.delete(job.spec.image);
     m.images.set(job.spec.image, job.spec.imageGb);
-    // As the machine's own cache does: the least recently used give way.
-    const most = this.types.get(m.type)?.cacheGb ?? Infinity;
-    let gb = 0;
-    for (const x of m.images.values()) gb += x;
-    for (const [image, x] of m.images) {
-      if (gb <= most || image === job.spec.image) break;
-      m.images.delete(image);
-      gb -= x;
-    }
+    if (m.images.size > 16) m.images.delete(m.images.keys().next().value!);
   }
 
   private use(l: Live, sign: 1 | -1): void {
