--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -131,12 +131,13 @@
   }
 }
 
-/** Seconds until the image is there, if what is being fetched shares the machine's rate. */
+const needsAll = (s: JobSpec): boolean => s.gang && s.tasks > 1;
+
+/** Seconds until the image is there; for a gang, whose machines wait for the slowest, if fetches share the rate. */
 function imageWait(r: Room, j: Job): number {
   const has = hasImage(r, j);
-  if (has && !r.pulls.has(j.spec.image)) return 0;
   let s = has ? 0 : j.spec.imageGb / r.fetch;
-  for (const left of r.pulls.values()) s += left;
+  if (needsAll(j.spec) && (!has || r.pulls.has(j.spec.image))) for (const left of r.pulls.values()) s += left;
   return s;
 }
 
@@ -320,7 +321,7 @@
         else if (input.fetching(l)) {
           const s = l.job.spec;
           pulls.set(s.image, Math.max(1, s.imageGb / t.fetch - (now - l.at) / 1000));
-          gangPulls ||= s.gang;
+          gangPulls ||= needsAll(s);
         }
       }
     rooms.push({
@@ -411,7 +412,7 @@
       for (const { r, n } of shares) {
         if (!hasImage(r, job)) {
           r.pulls.set(spec.image, spec.imageGb / r.fetch);
-          r.gangPulls ||= spec.gang;
+          r.gangPulls ||= needsAll(spec);
         }
         r.coming.add(spec.image);
         r.awake = true;
