One way of reading on, one direct call, one list of offers; rooms derive what they can

Follower: reading on for a question and for a take-over were twins. Workers: the direct call and the introduction counted, ended and read their answers alike. Renting looked for what is to be had once to leave early and again for each job. Rooms kept images that were coming beside those being fetched, and were mapped twice a round. Tests share one record writer, one silent logger and the node's clock.

--- a/src/actors/controller.ts
+++ b/src/actors/controller.ts
@@ -85,8 +85,13 @@
    */
   private deaf(l: LeaderActor): boolean {
     if (!l.workers.deaf(DEAF_MS)) return false;
-    const fresh = (this.peers?.statuses() ?? []).filter((p) => p.age < 3000);
-    return fresh.length === 0 || fresh.some((p) => p.status.workers > 0);
+    const fresh = this.heard(3000);
+    return fresh.length === 0 || fresh.some((p) => p.workers > 0);
+  }
+
+  /** Peers heard lately. */
+  private heard(withinMs: number): PeerStatus[] {
+    return (this.peers?.statuses() ?? []).filter((p) => p.age < withinMs).map((p) => p.status);
   }
 
   private async contend(): Promise<void> {
@@ -187,10 +192,7 @@
     if (!this.follower.loaded) return false;
     const now = this.ports.clock.steady();
     // A leader without state service and peers can do nothing for users; with peers it is an outage for all.
-    if (this.leading)
-      return (
-        this.lock.uncertainFor() < APART_MS || (this.peers?.statuses() ?? []).some((p) => p.age < APART_MS)
-      );
+    if (this.leading) return this.lock.uncertainFor() < APART_MS || this.heard(APART_MS).length > 0;
     // The state service names a leader that outlived its lease, and no link to it can be had.
     if (now - this.linkedAt > APART_MS && this.follower.lastAnswer - this.linkedAt > APART_MS) return false;
     return now - this.leaderSeen < 8000;
--- a/src/actors/follower.ts
+++ b/src/actors/follower.ts
@@ -163,37 +163,32 @@
   private async read(): Promise<boolean> {
     await sleep(this.clock, Math.max(0, this.readAt + READ_APART_MS - this.clock.steady()));
     this.readAt = this.clock.steady();
-    const ok = this.loaded && !this.paused && (await this.readOn());
+    // Guards the state of a node that began to lead meanwhile: only its pen applies records then.
+    const may = (): boolean => this.loaded && !this.paused;
+    const ok = may() && (await this.readOn(may));
     this.reading = null;
     return ok;
   }
 
-  private async readOn(): Promise<boolean> {
+  /** Reads what was written after the last record known here, and applies it if it still may be. */
+  private async readOn(may: () => boolean): Promise<boolean> {
     const rest = await this.store.list(RECORDS, recordKey(this.state.next - 1));
+    // Nothing after ours: either all is here, or it was folded meanwhile.
     const h = rest?.items.length === 0 ? await this.store.get(HEAD) : null;
-    // Guards the state of a node that began to lead meanwhile: only its pen applies records then.
-    if (!rest || h === undefined || this.paused || !this.loaded) return false;
+    if (!rest || h === undefined || !may()) return false;
     this.lastAnswer = this.clock.steady();
-    for (const i of rest.items) this.take(recordOf(i.key), i.value as LogRecord);
-    // Records that were folded meanwhile are read anew with the snapshot.
-    if (h && (h.value as HeadValue).upto >= this.state.next) this.loaded = false;
+    const first = rest.items[0];
+    const folded = first
+      ? recordOf(first.key) > this.state.next
+      : h && (h.value as HeadValue).upto >= this.state.next;
+    if (folded) this.loaded = false;
+    else for (const i of rest.items) this.take(recordOf(i.key), i.value as LogRecord);
     return this.loaded;
   }
 
-  /** Reads what was written after the last record known here. */
+  /** Reads on to take over; what was folded meanwhile is read anew with the snapshot. */
   async catchUp(): Promise<boolean> {
-    const rest = await this.store.list(RECORDS, recordKey(this.state.next - 1));
-    if (!rest) return false;
-    const first = rest.items[0];
-    if (first && recordOf(first.key) > this.state.next) return this.load();
-    for (const i of rest.items) this.take(recordOf(i.key), i.value as LogRecord);
-    if (rest.items.length === 0) {
-      // Nothing after ours: either all is here, or it was folded meanwhile.
-      const h = await this.store.get(HEAD);
-      if (h === undefined) return false;
-      if (h && (h.value as HeadValue).upto >= this.state.next) return this.load();
-    }
-    return this.loaded;
+    return (await this.readOn(() => true)) || (!this.loaded && (await this.load()));
   }
 
   pause(): void {
--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -53,8 +53,7 @@
 
 /** Guards the lowest class, and the largest jobs of any, against waiting for ever behind what is more urgent. */
 const STARVING_MS = 150_000;
-const neverStarted = (j: Job): boolean =>
-  j.fresh === 0 && j.done === 0 && j.live.size === 0 && j.gangTry === 1;
+const neverStarted = (j: Job): boolean => j.fresh === 0 && j.live.size === 0 && j.gangTry === 1;
 
 type LeaderMessage = { t: 'round' };
 
--- a/src/actors/workers.ts
+++ b/src/actors/workers.ts
@@ -6,13 +6,14 @@
   Entry,
   JobId,
   MachineId,
+  Session,
   Steady,
   TaskState,
   Term,
   WorkerReport,
 } from '../core/types.js';
 import type { Clock } from '../io/clock.js';
-import type { HttpCall } from '../io/http-client.js';
+import type { HttpAnswer, HttpCall } from '../io/http-client.js';
 import type { Logger } from '../io/logger.js';
 import { readReport, writeDirect } from '../wire/schemas.js';
 import { Actor } from './actor.js';
@@ -307,32 +308,47 @@
       k.unsure.add(s);
     }
     k.busy = true;
+    this.callWorker(m, session, orders, (a) => {
+      k.busy = false;
+      if (a && (a.status === 200 || a.status === 409)) {
+        for (const s of starts) k.unsure.delete(s);
+        this.takeAnswer(m, a);
+      }
+      if (k.again) {
+        k.again = false;
+        this.push(m.id);
+      }
+    });
+  }
+
+  /** Every direct call is counted while it is open; its end lets in what waits for one. */
+  private callWorker(
+    m: Machine,
+    session: Session,
+    orders: Command[],
+    then: (a: HttpAnswer | null) => void,
+  ): void {
     this.open++;
     void this.call(m.addr, 'POST', '/orders', writeDirect(this.term, session, orders), DIRECT_MS).then(
       (a) => {
         if (this.stopped) return;
-        k.busy = false;
         this.open--;
-        if (a && (a.status === 200 || a.status === 409)) {
-          for (const s of starts) k.unsure.delete(s);
-          const r = readReport(a.body);
-          if (r && r.machine === m.id) this.take(r, false);
-        }
-        if (k.again) {
-          k.again = false;
-          this.push(m.id);
+        then(a);
+        for (const id of this.queued) {
+          if (this.open >= this.callsMost) return;
+          this.queued.delete(id);
+          this.push(id);
         }
-        this.pushQueued();
       },
     );
   }
 
-  private pushQueued(): void {
-    for (const id of this.queued) {
-      if (this.open >= this.callsMost) return;
-      this.queued.delete(id);
-      this.push(id);
-    }
+  /** The report that answers a direct call; false when there is none. */
+  private takeAnswer(m: Machine, a: HttpAnswer | null): boolean {
+    const r = a ? readReport(a.body) : null;
+    if (r?.machine !== m.id) return false;
+    this.take(r, false);
+    return true;
   }
 
   private tick(): void {
@@ -347,19 +363,11 @@
         if (!isUp(m) || !m.addr || this.known.get(m.id)?.ours) continue;
         if (this.introducing.has(m.id)) continue;
         this.introducing.add(m.id);
-        this.open++;
-        void this.call(m.addr, 'POST', '/orders', writeDirect(this.term, m.session, []), DIRECT_MS).then(
-          (a) => {
-            if (this.stopped) return;
-            // Who was not reached is told again.
-            this.introducing.delete(m.id);
-            this.open--;
-            this.pushQueued();
-            const r = a ? readReport(a.body) : null;
-            if (r && r.machine === m.id) this.take(r, false);
-            else this.logger.debug({ machine: m.id }, 'worker not reached');
-          },
-        );
+        this.callWorker(m, m.session, [], (x) => {
+          // Who was not reached is told again.
+          this.introducing.delete(m.id);
+          if (!this.takeAnswer(m, x)) this.logger.debug({ machine: m.id }, 'worker not reached');
+        });
       }
   }
   private readonly introducing = new Set<MachineId>();
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -50,13 +50,13 @@
 export function rent(input: CapacityInput): Entry[] {
   const { state, now, unplaced } = input;
   if (unplaced.length === 0) return [];
-  const some = [...state.types.values()].some((t) =>
-    t.zones.some(
-      (z) => input.zones.includes(z) && [true, false].some((spot) => !input.backoff(t.name, z, spot)),
-    ),
-  );
+  const offers: { t: MachineType; zone: string; spot: boolean }[] = [];
+  for (const t of state.types.values())
+    for (const zone of t.zones)
+      for (const spot of [true, false])
+        if (input.zones.includes(zone) && !input.backoff(t.name, zone, spot)) offers.push({ t, zone, spot });
   // On a day that takes all the cloud has there is nothing to count.
-  if (!some) return [];
+  if (offers.length === 0) return [];
   const bins: Bin[] = [];
   const whole = new Map<string, Bin>();
   const group = (type: MachineType, zone: string, spot: boolean, isNew: boolean, n = 1): Bin => {
@@ -123,24 +123,26 @@
       (b.soon === null || (waits && !avoids(job, b.soon))) &&
       fits(b, s) &&
       allowed(job, { type: b.type.name, zone: b.zone, spot: b.spot });
-    const kinds = (z: string | null): { t: MachineType; zone: string; spot: boolean; c: number }[] => {
-      const out: { t: MachineType; zone: string; spot: boolean; c: number }[] = [];
-      for (const t of types)
-        for (const at of t.zones) {
-          if (!input.zones.includes(at) || (s.zone && at !== s.zone) || (z !== null && at !== z)) continue;
-          for (const spot of s.spot && input.policy.rentSpot(s) ? [true, false] : [false]) {
-            if (input.backoff(t.name, at, spot)) continue;
-            const per = Math.max(1, Math.min(tasks, slots(t, s)));
-            const c = (priceOf(t, spot) / per) * (1 + t.boot / 600);
-            // What only this type can hold should find some of it; a gang loses with any one of its
-            // machines what all of them did.
-            const wanted = !spot && types.length > 1 && scarce.has(t.name) ? 1.3 : 1;
-            const risk = s.gang ? 1 + 0.15 * s.tasks : fragile ? 3 : 1;
-            out.push({ t, zone: at, spot, c: c * wanted * (spot ? risk : 1) });
-          }
-        }
-      return out.sort((a, b) => a.c - b.c);
-    };
+    const onSpot = s.spot && input.policy.rentSpot(s);
+    const kinds = (z: string | null): { t: MachineType; zone: string; spot: boolean; c: number }[] =>
+      offers
+        .filter(
+          (o) =>
+            types.includes(o.t) &&
+            (!s.zone || o.zone === s.zone) &&
+            (z === null || o.zone === z) &&
+            (onSpot || !o.spot),
+        )
+        .map((o) => {
+          const per = Math.max(1, Math.min(tasks, slots(o.t, s)));
+          const c = (priceOf(o.t, o.spot) / per) * (1 + o.t.boot / 600);
+          // What only this type can hold should find some of it; a gang loses with any one of its
+          // machines what all of them did.
+          const wanted = !o.spot && types.length > 1 && scarce.has(o.t.name) ? 1.3 : 1;
+          const risk = s.gang ? 1 + 0.15 * s.tasks : fragile ? 3 : 1;
+          return { ...o, c: c * wanted * (o.spot ? risk : 1) };
+        })
+        .sort((a, b) => a.c - b.c);
     let z: string | null = zone;
     let left = tasks;
     if (s.oneZone && z !== null && s.gang && job.live.size === 0 && kinds(z).length === 0) {
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -45,9 +45,7 @@
 
 interface Room extends Resources {
   m: Machine;
-  /** Images that this round's own placements bring here. */
-  coming: Set<string>;
-  /** Images that are being fetched, and the seconds that each needs yet; they may share the machine's rate. */
+  /** Images that are being fetched, or will be after this round, and the seconds that each needs yet; they may share the machine's rate. */
   pulls: Map<string, number>;
   /** A gang is fetching: all its machines wait for the slowest. */
   gangPulls: boolean;
@@ -62,7 +60,7 @@
   soon: Resources;
 }
 
-const hasImage = (r: Room, j: Job): boolean => r.m.images.has(j.spec.image) || r.coming.has(j.spec.image);
+const hasImage = (r: Room, j: Job): boolean => r.m.images.has(j.spec.image) || r.pulls.has(j.spec.image);
 
 /**
  * Jobs in order of their claim: guarantees first, then what never got a place, then priority, then
@@ -329,7 +327,6 @@
       cpus: t.cpus - m.cpus,
       gpus: t.gpus - m.gpus,
       mem: t.mem - m.mem,
-      coming: new Set(),
       pulls,
       gangPulls,
       soon,
@@ -342,7 +339,7 @@
   // Work follows what has room: on a busy day few machines do.
   let some = rooms.filter((r) => r.cpus > EPS);
   const freeing = rooms.filter((r) => r.soon.cpus > EPS);
-  const byId = new Map(rooms.map((r) => [r.m.id, r]));
+  const roomOf = new Map(rooms.map((r) => [r.m.id, r]));
   /** Needs that found no machine at all this round. */
   const noRoom = new InVain();
   const use = new Map([...state.teamUse].map(([k, v]) => [k, { ...v }]));
@@ -356,7 +353,7 @@
     const spec = job.spec;
     // Images are there, or a gang's slow tasks are still fetching: its other places wait for them.
     for (const id of job.places) {
-      const r = byId.get(id);
+      const r = roomOf.get(id);
       if (!r || !fits(r, spec) || !allowed(job, r.m)) continue;
       add(r, spec, -1);
       keep.add(r.m);
@@ -414,7 +411,6 @@
           r.pulls.set(spec.image, spec.imageGb / r.fetch);
           r.gangPulls ||= needsAll(spec);
         }
-        r.coming.add(spec.image);
         r.awake = true;
         // Guards against giving a machine back in the round that gives it work.
         keep.add(r.m);
@@ -447,13 +443,12 @@
     if (drain) some = some.filter((r) => r.cpus > EPS);
     if (left > held.n) unplaced.push({ job, tasks: left - held.n, guaranteed, zone: held.zone });
   }
-  const left = new Map(rooms.map((r) => [r.m, r]));
   return {
     entries,
     starts,
     unplaced,
     keep,
-    room: (m) => plus(left.get(m) ?? NONE, NONE),
-    soon: (m) => left.get(m)?.soon ?? NONE,
+    room: (m) => plus(roomOf.get(m.id) ?? NONE, NONE),
+    soon: (m) => roomOf.get(m.id)?.soon ?? NONE,
   };
 }
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -88,14 +88,14 @@
       if (fits(r, s)) return { r, v: [], cost: 0 };
       if (s.spread || lesser.size === 0) return null;
       const got = { cpus: r.cpus, gpus: r.gpus, mem: r.mem };
-      const may: Live[] = [];
+      const lower: Live[] = [];
       for (const l of r.m.live) {
         if (l.stop || !lesser.has(l.job) || chosen.has(l)) continue;
-        may.push(l);
+        lower.push(l);
         add(got, l.job.spec);
       }
       if (!fits(got, s)) return null;
-      const stoppable = may.map((l) => ({ l, cost: loss(l, input.ran(l)) }));
+      const stoppable = lower.map((l) => ({ l, cost: loss(l, input.ran(l)) }));
       stoppable.sort((a, b) => a.cost / a.l.job.spec.cpus - b.cost / b.l.job.spec.cpus);
       Object.assign(got, { cpus: r.cpus, gpus: r.gpus, mem: r.mem });
       const v: Live[] = [];
--- a/src/io/server.ts
+++ b/src/io/server.ts
@@ -1,7 +1,7 @@
 import express, { type NextFunction, type Request, type Response } from 'express';
 import http from 'node:http';
 import type { Controller } from '../actors/controller.js';
-import type { Reply } from '../actors/admission.js';
+import { noSuchJob, type Reply } from '../actors/admission.js';
 import type { Measure } from './metrics.js';
 import type { Logger } from './logger.js';
 import type { JobId } from '../core/types.js';
@@ -59,7 +59,7 @@
 
   app.get('/v1/jobs/:id', (req, res) => {
     const id = req.params.id;
-    if (!jobIdForm.test(id)) return json(res, 404, { error: 'no such job' });
+    if (!jobIdForm.test(id)) return send(res, noSuchJob);
     void c.user({ kind: 'show', job: id as JobId }).then((r) => send(res, r));
   });
   app.get('/ready', (_req, res) => json(res, c.ready() ? 200 : 503, {}));
@@ -79,7 +79,7 @@
   });
   app.post('/v1/jobs/:id/withdraw', (req, res) => {
     const id = req.params.id;
-    if (!jobIdForm.test(id)) return json(res, 404, { error: 'no such job' });
+    if (!jobIdForm.test(id)) return send(res, noSuchJob);
     void c.user({ kind: 'withdraw', job: id as JobId }).then((r) => send(res, r));
   });
   app.get('/metrics', (_req, res) => json(res, 200, metrics()));
--- a/test/fakes/network.ts
+++ b/test/fakes/network.ts
@@ -7,6 +7,8 @@
   body: unknown,
 ) => HttpAnswer | Promise<HttpAnswer> | null;
 
+const hostOf = (address: string): string => address.replace(/:.*/, '');
+
 /** Carries requests between hosts; cuts drop them or hold them until the cut is over. */
 export class FakeNetwork {
   private readonly hosts = new Map<string, Handler>();
@@ -42,8 +44,8 @@
 
   /** Runs at once, or when the host goes on. */
   private awake(address: string, run: () => void): void {
-    const until = this.frozen.get(address.replace(/:.*/, '')) ?? 0;
-    if (until > this.time.now) this.time.after(until - this.time.now, run);
+    const until = this.frozen.get(hostOf(address)) ?? 0;
+    if (until > this.time.now) this.time.after(until - this.time.now, () => this.awake(address, run));
     else run();
   }
 
@@ -61,7 +63,7 @@
   }
 
   private hears(address: string): boolean {
-    return (this.deaf.get(address.replace(/:.*/, '')) ?? 0) <= this.time.now;
+    return (this.deaf.get(hostOf(address)) ?? 0) <= this.time.now;
   }
 
   private copyLater(path: string, body: string | undefined): void {
@@ -73,11 +75,10 @@
 
   private cutBetween(x: string, y: string): { hold: boolean; until: number } | undefined {
     const is = (p: string, q: string): boolean => p === '*' || p === q;
-    const host = (a: string): string => a.replace(/:.*/, '');
     return (
       this.cuts.find(
         (c) => c.until > this.time.now && ((is(c.a, x) && is(c.b, y)) || (is(c.a, y) && is(c.b, x))),
-      ) ?? this.partitions.find((p) => p.until > this.time.now && p.inside(host(x)) !== p.inside(host(y)))
+      ) ?? this.partitions.find((p) => p.until > this.time.now && p.inside(hostOf(x)) !== p.inside(hostOf(y)))
     );
   }
 
@@ -100,10 +101,9 @@
           resolve(a);
         };
         this.time.after(timeoutMs, () => this.awake(from, () => end(null)));
-        const late = (a: string): boolean => (this.frozen.get(a.replace(/:.*/, '')) ?? 0) > this.time.now;
         const text = body === undefined ? undefined : JSON.stringify(body);
-        const arrive = (): void => {
-          if (late(address)) return void this.awake(address, arrive);
+        const arrive = (): void => this.awake(address, deliver);
+        const deliver = (): void => {
           const cut = this.cutBetween(from, address);
           if (cut) {
             if (cut.hold) this.time.after(cut.until - this.time.now + 1, arrive);
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -3,7 +3,8 @@
 import { deflateSync } from 'node:zlib';
 import { Controller } from '../../src/actors/controller.js';
 import { defaultPolicy } from '../../src/core/policy.js';
-import type { JobId, MachineType } from '../../src/core/types.js';
+import type { State } from '../../src/core/state.js';
+import type { Entry, JobId, MachineType, Term, Wall } from '../../src/core/types.js';
 import type { Logger } from '../../src/io/logger.js';
 import type { PeerAnswer, PeerAsk, Peers, PeerStatus } from '../../src/io/peers.js';
 import { Cloud } from '../../src/wire/cloud.js';
@@ -17,7 +18,7 @@
 import { FakeStateService } from './state-service.js';
 import { FakeWorker, type WorkerWorld } from './worker.js';
 
-const silent: Logger = { info: () => {}, debug: () => {}, error: () => {}, warn: () => {} };
+export const silent: Logger = { info: () => {}, debug: () => {}, error: () => {}, warn: () => {} };
 
 export const box: MachineType = {
   name: 'box',
@@ -63,6 +64,10 @@
   });
 }
 
+/** Entries of one record, applied. */
+export const write = (state: State, entries: Entry[], at = 0): void =>
+  state.apply(state.next, { term: 1 as Term, tag: 1, at: at as Wall, entries });
+
 interface NodeHere {
   name: string;
   controller: Controller;
--- a/test/log.test.ts
+++ b/test/log.test.ts
@@ -4,14 +4,13 @@
 import { lines, pack, unpack } from '../src/actors/snapshot.js';
 import { giveBack, type CapacityInput } from '../src/core/capacity.js';
 import { State } from '../src/core/state.js';
-import type { Entry, MachineId, Steady, Wall } from '../src/core/types.js';
+import type { Entry, MachineId, Wall } from '../src/core/types.js';
 import { chunkKey } from '../src/wire/keys.js';
 import { Store } from '../src/wire/store.js';
-import { VirtualTime } from './fakes/clock.js';
+import { NodeClock, VirtualTime } from './fakes/clock.js';
 import { FakeStateService } from './fakes/state-service.js';
-import { box } from './fakes/world.js';
+import { box, silent, write } from './fakes/world.js';
 
-const quiet = { info: () => {}, debug: () => {}, error: () => {}, warn: () => {} };
 const limits = { rps: 100, write_rps: 40, value_kb: 8, txn_ops: 12 };
 const job = (i: number, filler = 600): Entry => ({
   e: 'job',
@@ -31,19 +30,14 @@
     }, 'state');
     service.kv.set('q/leader', { data: {}, stamp: 1 });
     const state = new State();
-    const clock = {
-      steady: () => time.now as Steady,
-      wall: () => time.now as Wall,
-      after: (ms: number, run: () => void) => time.after(ms, run),
-    };
     const log = new LogActor(
       state,
       store,
-      clock,
+      new NodeClock(time, 1, 0),
       limits,
       1 as never,
       1,
-      quiet,
+      silent,
       () => expect.unreachable(),
       () => {},
     );
@@ -72,7 +66,7 @@
       s: 1 as never,
     });
     const entries = [{ e: 'types', types: [box] } as Entry, ...Array.from({ length: 1000 }, (_, i) => up(i))];
-    state.apply(state.next, { term: 1 as never, tag: 1, at: 0 as Wall, entries });
+    write(state, entries);
     const drops = giveBack({
       state,
       now: 1e9 as Wall,
@@ -89,21 +83,19 @@
 describe('a snapshot', () => {
   it('is written in short steps, is not changed by what comes meanwhile, and loads as it was', async () => {
     const state = new State();
-    const write = (entries: Entry[]): void =>
-      state.apply(state.next, { term: 1 as never, tag: 1, at: 0 as Wall, entries });
-    write([{ e: 'types', types: [box] }]);
+    write(state, [{ e: 'types', types: [box] }]);
     for (let i = 0; i < 200; i++)
-      write([
+      write(state, [
         { e: 'up', m: `vm-${i}` as MachineId, addr: 'x', type: 'box', zone: 'a', spot: false, s: 1 as never },
         { e: 'job', spec: { id: `wk-${i}`, team: 'red', tasks: 2, cpus: 1, gpus: 0, mem: 1 } as never },
         { e: 'start', job: `wk-${i}` as never, p: [[0, 1, `vm-${i}` as MachineId]] },
       ]);
-    write([{ e: 'stop', job: 'wk-3' as never, p: [0], grace: 0, why: 'preempted' }]);
+    write(state, [{ e: 'stop', job: 'wk-3' as never, p: [0], grace: 0, why: 'preempted' }]);
     const before = JSON.stringify(state.dump());
     let steps = 0;
     const text = await lines(state.dump(), () => {
       steps++;
-      write([{ e: 'end', p: [[`wk-${steps}` as never, 0, 1 as never, 'stopped', false]] }]);
+      write(state, [{ e: 'end', p: [[`wk-${steps}` as never, 0, 1 as never, 'stopped', false]] }]);
       return Promise.resolve();
     });
     // 200 machines and 200 jobs, 40 at once.
--- a/test/preemption.test.ts
+++ b/test/preemption.test.ts
@@ -4,7 +4,7 @@
 import { State } from '../src/core/state.js';
 import type { Entry, JobSpec, MachineId, Wall } from '../src/core/types.js';
 import { rank } from '../src/core/types.js';
-import { box } from './fakes/world.js';
+import { box, write as record } from './fakes/world.js';
 
 const teams = [
   { name: 'red', cpus: 8, cpusMax: 100, gpus: 0, gpusMax: 0 },
@@ -36,8 +36,7 @@
 
 function world(entries: Entry[]) {
   const state = new State();
-  const write = (list: Entry[]): void =>
-    state.apply(state.next, { term: 1 as never, tag: 1, at: state.next as unknown as Wall, entries: list });
+  const write = (list: Entry[]): void => record(state, list, state.next);
   write([{ e: 'types', types: [box] }]);
   write([{ e: 'up', m: 'vm-1' as MachineId, addr: 'x', type: 'box', zone: 'a', spot: false, s: 1 as never }]);
   write(entries);
--- a/test/recovery.test.ts
+++ b/test/recovery.test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, it } from 'vitest';
 import { commands, attemptKey, type Seen } from '../src/core/recovery.js';
 import { State } from '../src/core/state.js';
-import type { Entry, MachineId, TaskReport, Wall, WorkerReport } from '../src/core/types.js';
-import { box } from './fakes/world.js';
+import type { Entry, MachineId, TaskReport, WorkerReport } from '../src/core/types.js';
+import { box, write } from './fakes/world.js';
 
 const state = (entries: Entry[]): State => {
   const s = new State();
@@ -24,7 +24,7 @@
       } as never,
     },
   ];
-  s.apply(s.next, { term: 1 as never, tag: 1, at: 0 as Wall, entries: [...head, ...entries] });
+  write(s, [...head, ...entries]);
   return s;
 };
 const seen = (tasks: Partial<TaskReport>[], over: Partial<Seen> = {}): Seen => ({
--- a/test/wire.test.ts
+++ b/test/wire.test.ts
@@ -5,9 +5,8 @@
 import { PeerLinks, type PeerAsk, type PeerStatus } from '../src/io/peers.js';
 import { server } from '../src/io/server.js';
 import { readSettings } from '../src/wire/settings.js';
-import { settingsFor, World } from './fakes/world.js';
+import { settingsFor, silent, World } from './fakes/world.js';
 
-const silent = { info: () => {}, debug: () => {}, error: () => {}, warn: () => {} };
 const closers: (() => void)[] = [];
 afterEach(() => {
   for (const c of closers.splice(0)) c();
--- a/test/workers.test.ts
+++ b/test/workers.test.ts
@@ -1,12 +1,11 @@
 import { describe, expect, it } from 'vitest';
 import { WorkersActor } from '../src/actors/workers.js';
 import { State } from '../src/core/state.js';
-import type { Entry, MachineId, Steady, Term, Wall, WorkerReport } from '../src/core/types.js';
+import type { MachineId, Term, WorkerReport } from '../src/core/types.js';
 import type { HttpAnswer } from '../src/io/http-client.js';
-import { VirtualTime } from './fakes/clock.js';
-import { box } from './fakes/world.js';
+import { NodeClock, VirtualTime } from './fakes/clock.js';
+import { box, silent, write } from './fakes/world.js';
 
-const quiet = { info: () => {}, debug: () => {}, error: () => {}, warn: () => {} };
 const MACHINES = 1260;
 const MOST = 150;
 
@@ -14,12 +13,10 @@
 function site() {
   const time = new VirtualTime();
   const state = new State();
-  const write = (entries: Entry[]): void =>
-    state.apply(state.next, { term: 1 as Term, tag: 1, at: 0 as Wall, entries });
-  write([{ e: 'types', types: [box] }]);
+  write(state, [{ e: 'types', types: [box] }]);
   const ids = Array.from({ length: MACHINES }, (_, i) => `vm-${i}` as MachineId);
   for (const m of ids)
-    write([{ e: 'up', m, addr: `${m}:1`, type: 'box', zone: 'a', spot: false, s: 1 as never }]);
+    write(state, [{ e: 'up', m, addr: `${m}:1`, type: 'box', zone: 'a', spot: false, s: 1 as never }]);
   const calls = { open: 0, most: 0, reached: new Map<string, number>() };
   const call = (address: string): Promise<HttpAnswer | null> => {
     calls.most = Math.max(calls.most, ++calls.open);
@@ -35,7 +32,7 @@
     state,
     { tell: () => {} } as never,
     call,
-    { steady: () => time.now as Steady, wall: () => time.now as Wall, after: (ms, r) => time.after(ms, r) },
+    new NodeClock(time, 1, 0),
     1 as Term,
     3,
     MOST,
@@ -43,7 +40,7 @@
     () => 0,
     () => {},
     () => {},
-    quiet,
+    silent,
   );
   const report = (m: MachineId, seq: number): WorkerReport =>
     ({
@@ -58,15 +55,15 @@
       notice: null,
       tasks: [],
     }) as never;
-  return { time, state, write, ids, calls, workers, report };
+  return { time, state, ids, calls, workers, report };
 }
 
 describe('direct calls', () => {
   it('are bounded when a record touches every machine, and none is forgotten', async () => {
-    const { time, write, ids, calls, workers, report } = site();
+    const { time, state, ids, calls, workers, report } = site();
     for (const m of ids) workers.tell({ t: 'report', report: report(m, 1), reply: () => {} });
-    write([{ e: 'job', spec: { id: 'wk-1', tasks: MACHINES, cpus: 1, gpus: 0, mem: 1 } as never }]);
-    write([{ e: 'start', job: 'wk-1' as never, p: ids.map((m, i) => [i, 1, m]) }]);
+    write(state, [{ e: 'job', spec: { id: 'wk-1', tasks: MACHINES, cpus: 1, gpus: 0, mem: 1 } as never }]);
+    write(state, [{ e: 'start', job: 'wk-1' as never, p: ids.map((m, i) => [i, 1, m]) }]);
     workers.tell({ t: 'push', machines: ids });
     await time.run(1000);
     expect(calls.most).toBe(MOST);
