--- a/src/actors/admission.ts
+++ b/src/actors/admission.ts
@@ -59,6 +59,8 @@
     private readonly valueKb: number,
     private readonly certain: () => boolean,
     private readonly running: (job: Job) => number,
+    /** A withdrawal is on its way into a record, or no more. */
+    private readonly onWithdraw: (job: JobId, open: boolean) => void,
   ) {
     super();
   }
@@ -131,11 +133,13 @@
     if (same) return void same.push(done);
     const list = [done];
     this.open.set(key, list);
+    if (entry.e === 'withdraw') this.onWithdraw(entry.job, true);
     this.log.tell({
       entries: [entry],
       urgent: true,
       done: (ok) => {
         this.open.delete(key);
+        if (entry.e === 'withdraw') this.onWithdraw(entry.job, false);
         for (const d of list) d(ok);
       },
     });
--- a/src/actors/cloud.ts
+++ b/src/actors/cloud.ts
@@ -1,5 +1,5 @@
 import { pieces } from '../core/pieces.js';
-import type { State } from '../core/state.js';
+import type { Machine, State } from '../core/state.js';
 import type { MachineId, MachineType, Steady } from '../core/types.js';
 import type { Clock } from '../io/clock.js';
 import type { Logger } from '../io/logger.js';
@@ -9,7 +9,10 @@
 import { Bucket } from './bucket.js';
 import type { LogActor } from './log.js';
 
-type CloudMessage = { t: 'tick' };
+type CloudMessage =
+  | { t: 'tick' }
+  /** Machines to be returned without a record: what is withdrawn runs there and can't be stopped. */
+  | { t: 'fence'; machines: Machine[] };
 
 const place = (type: string, zone: string, spot: boolean): string => `${type}|${zone}|${spot}`;
 
@@ -51,11 +54,12 @@
     return true;
   }
 
-  protected receive(): void {
-    if (!this.certain()) return;
+  protected receive(m: CloudMessage): void {
     const now = this.clock.steady();
     if (now < this.notBefore) return;
-    this.giveBack();
+    if (m.t === 'fence') return this.giveBack(m.machines);
+    if (!this.certain()) return;
+    this.giveBack([...this.state.machines.values()].filter((x) => x.drop));
     this.rent();
     if ((this.state.types.size === 0 || now - this.typesAt > 60_000) && !this.typing && this.spend())
       void this.readTypes();
@@ -105,10 +109,8 @@
     }
   }
 
-  private giveBack(): void {
-    const due: MachineId[] = [];
-    for (const m of this.state.machines.values())
-      if (m.drop && !this.returning.has(m.id) && due.length < 100) due.push(m.id);
+  private giveBack(machines: Machine[]): void {
+    const due = machines.flatMap((m) => (this.returning.has(m.id) ? [] : [m.id])).slice(0, 100);
     if (due.length === 0 || !this.spend()) return;
     for (const id of due) this.returning.add(id);
     void this.cloud.giveBack(due).then((ok) => {
--- a/src/actors/controller.ts
+++ b/src/actors/controller.ts
@@ -1,20 +1,23 @@
-import type { JobId, JobSpec, Term, WorkerReport, Command } from '../core/types.js';
+import type { Command, Fence, JobId, JobSpec, Steady, Term, WorkerReport } from '../core/types.js';
 import type { Peers, PeerAnswer, PeerAsk, PeerStatus } from '../io/peers.js';
 import { sleep } from '../io/clock.js';
 import { LEADER, type LeaderValue } from '../wire/keys.js';
 import { finalAnswer, later, noSuchJob, standing, type Reply, type UserRequest } from './admission.js';
 import { Follower } from './follower.js';
 import { LeaderActor, type LeaderPorts } from './leader.js';
-import { Lock } from './lock.js';
+import { DRIFT, Lock } from './lock.js';
 
 export const LOCK_MS = 2500;
 const DEAF_MS = 5500;
 const HOLD_OFF_MS = 8000;
+/** Workers end their tasks this soon after their lease. */
+const TASKS_END_MS = 1000;
 /** Longer than a dead leader's lock lasts. */
 const APART_MS = LOCK_MS + 700;
 
 export type Hello =
-  { answer: 'stay'; term: Term; orders: Command[] } | { answer: 'elsewhere'; leader: string | null };
+  | { answer: 'stay'; term: Term; fence: Fence; orders: Command[] }
+  | { answer: 'elsewhere'; leader: string | null };
 
 /** One node: follows the log, contends for the lock, leads while it holds it. */
 export class Controller {
@@ -22,6 +25,8 @@
   private readonly lock: Lock;
   private leading: LeaderActor | null = null;
   private leader: LeaderValue | null = null;
+  /** The highest term of which this node knew a leader, and the highest seen at all. */
+  private ledTerm = 0;
   private highest = 0;
   private peers: Peers | null = null;
   private contending = false;
@@ -31,12 +36,17 @@
   private leaderSeen = -Infinity;
   /** When this node last had a link to the leader, or knew of none. */
   private linkedAt = -Infinity;
+  /** What this node saw of terms reaches back to here: all of it once the state service was read. */
+  private remembers: Steady;
+  /** When each other node was asked the question to which it answered that it has not led since. */
+  private readonly vouched = new Map<string, Steady>();
 
   constructor(
     private readonly ports: LeaderPorts,
     private readonly run: string,
   ) {
     const { clock, store, logger, settings } = ports;
+    this.remembers = clock.steady();
     this.lock = new Lock(store, clock, { node: settings.node, term: 0, run }, LOCK_MS, logger, (why) =>
       this.stepDown(why),
     );
@@ -44,7 +54,11 @@
       free: () => this.contend(),
       leader: (v) => {
         this.leader = v;
-        if (v) this.highest = Math.max(this.highest, v.term);
+        if (v) this.ledTerm = Math.max(this.ledTerm, v.term);
+      },
+      term: (t) => {
+        this.remembers = -Infinity as Steady;
+        this.higher(t);
       },
     });
   }
@@ -115,6 +129,7 @@
       return;
     }
     this.highest = Math.max(this.highest, held.term);
+    this.vouched.clear();
     this.follower.pause();
     for (;;) {
       if (!this.lock.holding || this.lock.holding.term !== held.term) return;
@@ -123,6 +138,7 @@
     }
     if (this.lock.holding?.term !== held.term) return;
     this.leader = { node: this.ports.settings.node, term: held.term, run: this.run };
+    this.ledTerm = held.term;
     this.leading = new LeaderActor(
       this.ports,
       this.follower.state,
@@ -131,6 +147,7 @@
       this.follower.head,
       (why) => this.lock.lose(why),
       (term) => this.higher(term),
+      () => this.holds(),
     );
     this.ports.measure('take_over', clock.steady() - from);
     logger.info({ term: held.term, next: this.follower.state.next }, 'leading');
@@ -145,6 +162,31 @@
     this.follower.resume();
   }
 
+  /** The latest moment at which, as far as is known here, no other node can have led. */
+  private clean(): number {
+    const others = this.ports.settings.seeds.map((s) => this.vouched.get(s.node) ?? -Infinity);
+    return Math.max(this.lock.endsAt, Math.min(Infinity, ...others));
+  }
+
+  /**
+   * Guards ran_cancelled: whether reports may be answered without a certain lock. A withdrawal that another
+   * leader confirmed, and that this node does not know of, is later than `clean`; its tasks end with the
+   * lease that is not renewed, so no lease may last longer than what a cancellation has from then on.
+   */
+  private holds(): boolean {
+    const { lease_s, cancel_s } = this.ports.settings.cluster.workers;
+    const longest = lease_s * 1000 + cancel_s * 1000 * DRIFT + TASKS_END_MS;
+    return this.ports.clock.steady() + longest < this.clean() + cancel_s * 1000;
+  }
+
+  /** A node that answered a question put at that time has not led since `clean`, and is not about to. */
+  private vouch(s: PeerStatus, asked: Steady): void {
+    if (s.term > (this.lock.holding?.term ?? 0) || s.takingOver) return;
+    // A node that came up later knows nothing of what its former run did.
+    if (this.ports.clock.steady() - s.remembersMs * (1 - DRIFT) > this.clean()) return;
+    this.vouched.set(s.node, asked);
+  }
+
   /** A higher term was seen: somebody else leads. */
   private higher(term: Term): void {
     if (term <= this.highest) return;
@@ -169,6 +211,10 @@
       run: this.run,
       term: this.highest,
       leading: this.leading !== null && this.lock.certain(),
+      leader: this.leader?.node ?? '',
+      leaderTerm: this.leader?.term ?? 0,
+      takingOver: this.lock.contending,
+      remembersMs: Math.min(1e12, clock.steady() - this.remembers),
       workers: this.leading?.workers.heard(4000) ?? this.called(),
       stateAge: this.leading
         ? this.lock.uncertainFor()
@@ -182,8 +228,15 @@
     return this.callers.size;
   }
 
-  peerStatus(s: PeerStatus): void {
+  /** What a peer says of itself; asked: when the question was put that it answers. */
+  peerStatus(s: PeerStatus, asked?: Steady): void {
     this.higher(s.term as Term);
+    // The state service may be out of reach when workers have to be told whom to go to.
+    if (s.leader && s.leaderTerm > this.ledTerm) {
+      this.ledTerm = s.leaderTerm;
+      this.leader = { node: s.leader, term: s.leaderTerm, run: '' };
+    }
+    if (asked !== undefined) this.vouch(s, asked);
     if (s.leading) this.leaderSeen = this.ports.clock.steady();
   }
 
@@ -207,11 +260,9 @@
     l.workers.tell({
       t: 'report',
       report: r,
-      reply: (orders) =>
+      reply: (a) =>
         reply(
-          orders
-            ? { answer: 'stay', term: l.term, orders }
-            : { answer: 'elsewhere', leader: this.otherLeader() },
+          a ? { answer: 'stay', term: l.term, ...a } : { answer: 'elsewhere', leader: this.otherLeader() },
         ),
     });
   }
--- a/src/actors/follower.ts
+++ b/src/actors/follower.ts
@@ -1,5 +1,5 @@
 import { State } from '../core/state.js';
-import type { LogRecord, RecordNo } from '../core/types.js';
+import type { LogRecord, RecordNo, Term } from '../core/types.js';
 import { sleep, type Clock } from '../io/clock.js';
 import type { Logger } from '../io/logger.js';
 import {
@@ -7,14 +7,21 @@
   LEADER,
   RECORDS,
   ROOT,
+  TERM,
   recordKey,
   recordOf,
   type HeadValue,
   type LeaderValue,
 } from '../wire/keys.js';
-import type { Revision, Store } from '../wire/store.js';
+import type { Revision, Stamp, Store } from '../wire/store.js';
 import { unpack } from './snapshot.js';
 
+/** The snapshot in force, and the version of the key that says so. */
+export interface Head extends HeadValue {
+  stamp: Stamp;
+}
+const NO_HEAD: Head = { upto: 0, chunks: 0, stamp: 0 };
+
 /** Reads for users' questions keep this distance. */
 const READ_APART_MS = 200;
 
@@ -23,7 +30,7 @@
   state = new State();
   loaded = false;
   leader: LeaderValue | null = null;
-  head: HeadValue = { upto: 0, chunks: 0 };
+  head: Head = NO_HEAD;
   /** Steady time of the last answer of the state service. */
   lastAnswer = -Infinity;
   private revision: Revision = 0;
@@ -38,6 +45,8 @@
       /** The lock is free; resolves when the attempt to take it is over. */
       free: () => Promise<void>;
       leader: (v: LeaderValue | null) => void;
+      /** The lasting term, as the state service has it. */
+      term: (t: Term) => void;
     },
   ) {}
 
@@ -75,7 +84,8 @@
         if (c.key === LEADER) {
           this.setLeader(c.removed ? null : (c.value as LeaderValue));
           deposed ||= c.removed;
-        } else if (c.key === HEAD && !c.removed) this.head = c.value as HeadValue;
+        } else if (c.key === TERM && !c.removed) this.setTerm(c.value);
+        else if (c.key === HEAD && !c.removed) this.setHead(c);
         else if (c.key.startsWith(RECORDS) && !c.removed) this.take(recordOf(c.key), c.value as LogRecord);
       }
       // Bounded use of the state service: at most ten watches a second, but none late to an election.
@@ -103,6 +113,14 @@
     this.on.leader(v);
   }
 
+  private setTerm(v: unknown): void {
+    this.on.term((v as { term: Term } | undefined)?.term ?? (0 as Term));
+  }
+
+  private setHead(i: { value: unknown; stamp: Stamp } | null): void {
+    this.head = i ? { ...(i.value as HeadValue), stamp: i.stamp } : NO_HEAD;
+  }
+
   private take(no: RecordNo, rec: LogRecord): void {
     if (no < this.state.next) return;
     if (no > this.state.next) {
@@ -134,10 +152,11 @@
       state.apply(no, i.value as LogRecord);
     }
     this.state = state;
-    this.head = head;
+    this.setHead(all.items.find((i) => i.key === HEAD) ?? null);
     this.revision = all.revision;
     this.loaded = true;
     this.lastAnswer = this.clock.steady();
+    this.setTerm(keys.get(TERM));
     this.setLeader((keys.get(LEADER) as LeaderValue | undefined) ?? null);
     this.log.info({ next: state.next, ms: Math.round(this.clock.steady() - from) }, 'state loaded');
     return true;
@@ -188,7 +207,12 @@
 
   /** Reads on to take over; what was folded meanwhile is read anew with the snapshot. */
   async catchUp(): Promise<boolean> {
-    return (await this.readOn(() => true)) || (!this.loaded && (await this.load()));
+    if (!(await this.readOn(() => true)) && (this.loaded || !(await this.load()))) return false;
+    // Nobody but this node writes the head from now on.
+    const h = await this.store.get(HEAD);
+    if (h === undefined) return false;
+    this.setHead(h);
+    return true;
   }
 
   pause(): void {
--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -3,7 +3,8 @@
 import { claims, place, type Random } from '../core/placement.js';
 import type { Policy } from '../core/policy.js';
 import { preempt } from '../core/preemption.js';
-import { BROKEN, isUp, type Job, type Live, type State } from '../core/state.js';
+import { withdrawn } from '../core/recovery.js';
+import { BROKEN, isUp, type Job, type Live, type Machine, type State } from '../core/state.js';
 import {
   rank,
   type Cause,
@@ -12,6 +13,7 @@
   type MachineId,
   type RecordNo,
   type Term,
+  type Wall,
 } from '../core/types.js';
 import { sleep, type Cancel, type Clock } from '../io/clock.js';
 import type { HttpCall } from '../io/http-client.js';
@@ -20,9 +22,10 @@
 import type { Cloud } from '../wire/cloud.js';
 import { HEAD, LEADER, chunkKey, recordKey, type HeadValue } from '../wire/keys.js';
 import type { Settings } from '../wire/settings.js';
-import type { Op, Store } from '../wire/store.js';
+import type { Op, Stamp, Store } from '../wire/store.js';
 import { Actor } from './actor.js';
 import { AdmissionActor } from './admission.js';
+import type { Head } from './follower.js';
 import { CloudActor } from './cloud.js';
 import type { Held, Lock } from './lock.js';
 import { LogActor } from './log.js';
@@ -55,6 +58,9 @@
 const STARVING_MS = 150_000;
 const neverStarted = (j: Job): boolean => j.fresh === 0 && j.live.size === 0 && j.gangTry === 1;
 
+/** A return takes a record, a call to the cloud, and its repeats. */
+const RETURN_S = 12;
+
 type LeaderMessage = { t: 'round' };
 
 /** One term of leading: the log's pen, and the rounds that decide what runs where. */
@@ -80,9 +86,10 @@
     private readonly state: State,
     private readonly lock: Lock,
     held: Held,
-    private head: HeadValue,
+    private head: Head,
     onDeposed: (why: string) => void,
     onHigher: (term: Term) => void,
+    holds: () => boolean,
   ) {
     super();
     const { clock, store, cloud, call, settings, logger } = ports;
@@ -103,7 +110,7 @@
       c.workers.report_s,
       callsMost(c.machine_limits.sockets),
       certain,
-      () => lock.uncertainFor(),
+      holds,
       () => this.hurry(),
       onHigher,
       logger,
@@ -128,8 +135,15 @@
           o.class,
           o.kind === 'wait' ? 0 : Math.min(o.within_s, this.soonest.get(o.class) ?? Infinity),
         );
-    this.admission = new AdmissionActor(state, this.log, clock, teams, c.state.value_kb, certain, (j) =>
-      this.workers.running(j),
+    this.admission = new AdmissionActor(
+      state,
+      this.log,
+      clock,
+      teams,
+      c.state.value_kb,
+      certain,
+      (j) => this.workers.running(j),
+      (job, open) => this.workers.tell({ t: 'withdrawing', job, open }),
     );
     this.cloud = new CloudActor(state, cloud, this.log, clock, c.cloud, certain, logger);
     this.log.committed.subscribe(({ no, record }) => this.committed(no, record));
@@ -148,10 +162,29 @@
     if (this.stopped) return;
     this.cancelTick = this.clock.after(ROUND_MS, () => this.tick());
     this.workers.tell({ t: 'tick' });
+    // Without a certain lock no return can be logged; what a withdrawal asks for is done all the same.
+    if (!this.lock.certain()) {
+      const all = [...this.state.machines.values()];
+      this.cloud.tell({ t: 'fence', machines: all.filter((m) => [...m.live].some((l) => this.overdue(l))) });
+    }
     this.cloud.tell({ t: 'tick' });
     this.tell({ t: 'round' });
   }
 
+  /** When this leader saw a withdrawal written: its record may have been begun long before. */
+  private readonly withdrawnAt = new WeakMap<Job, Wall>();
+
+  /**
+   * Guards ran_cancelled: a task that a lease's time of stops has not ended is on a machine that hangs or
+   * hears nothing; the machine is returned while that still helps.
+   */
+  private overdue(l: Live): boolean {
+    if (!l.stop || !withdrawn(l) || this.workers.ended(l)) return false;
+    const { lease_s, cancel_s } = this.ports.settings.cluster.workers;
+    const age = (this.clock.wall() - (this.withdrawnAt.get(l.job) ?? l.stop.at)) / 1000;
+    return age > lease_s && (this.workers.settled() || age > cancel_s - RETURN_S);
+  }
+
   /** Something changed that a round could use: no need to wait for the tick. */
   private hurry(): void {
     if (this.soon || this.stopped) return;
@@ -180,7 +213,10 @@
         if (!job) continue;
         if (e.e === 'start') for (const p of e.p) add(job.live.get(p[0]));
         else if (e.e === 'stop') for (const t of e.p) add(job.live.get(t));
-        else for (const l of job.live.values()) add(l);
+        else {
+          this.withdrawnAt.set(job, this.clock.wall());
+          for (const l of job.live.values()) add(l);
+        }
       }
       if (e.e === 'end') for (const [, , , cause] of e.p) this.ends[cause] = (this.ends[cause] ?? 0) + 1;
       if (e.e === 'job' || e.e === 'up' || e.e === 'gone') hurry = true;
@@ -240,8 +276,11 @@
       usable,
       within: (c) => this.soonest.get(c) ?? 0,
       fetching: (l) => this.workers.fetching(l),
+      held: this.held,
+      rentable: (t, z, s) => !this.cloud.backoff(t, z, s),
       most: STARTS_MOST,
     });
+    this.held = placed.held;
     entries.push(...placed.entries);
     const preempted = preempt({
       claims: order,
@@ -275,6 +314,7 @@
       policy: ports.policy,
       silent: (m) => this.workers.silent(m),
       deaf,
+      overdue: (l) => this.overdue(l),
       within: (c) => this.soonest.get(c) ?? 0,
       leaseS: ports.settings.cluster.workers.lease_s,
       bootMost: (t) => Math.max(60, (t?.boot ?? 30) * 3.5),
@@ -312,6 +352,9 @@
     if (!this.folding && state.next - 1 - this.head.upto >= FOLD_EVERY) void this.fold();
   }
 
+  /** Machines that wait for a gang since the last round. */
+  private held: ReadonlySet<Machine> = new Set();
+
   /** How things stand, for the operator's log. */
   private pulse(usable: number, waiting: { job: Job; tasks: number }[]): void {
     const { state } = this;
@@ -392,6 +435,7 @@
     const limits = settings.cluster.state;
     const upto = this.state.next - 1;
     const old = this.head;
+    const lead = { key: LEADER, stamp: this.stamp };
     const from = this.clock.steady();
     const dump = this.state.dump();
     const took = this.clock.steady() - from;
@@ -402,28 +446,40 @@
     const ops: Op[] = packed.map((value, i) => ({ put: chunkKey(upto, i), value }));
     const head: HeadValue = { upto, chunks: ops.length };
     const most = Math.max(1, Math.min(limits.txn_ops, this.log.spareMost));
-    const write = async (part: Op[]): Promise<boolean> => {
+    /** The head's version after the write; null when it was refused for good. */
+    const write = async (part: Op[], at: Stamp): Promise<Stamp | null> => {
       for (;;) {
-        if (this.stopped) return false;
+        if (this.stopped) return null;
         if (this.lock.certain() && this.log.spare(part.length)) {
-          const r = await store.txn([{ key: LEADER, stamp: this.stamp }], part);
-          if (r.r === 'done') return true;
-          if (r.r === 'failed') return false;
+          // Guards forgotten: a copy of an unanswered write that is carried out late finds another head,
+          // so it neither puts an earlier one back nor writes chunks anew that were removed.
+          const r = await store.txn([lead, { key: HEAD, stamp: at }], part);
+          if (r.r === 'done') return r.revision;
+          if (r.r === 'failed') return null;
         }
         await sleep(this.clock, 150);
       }
     };
-    const inParts = async (list: Op[], n: number): Promise<boolean> => {
-      for (const part of pieces(list, n)) if (!(await write(part))) return false;
+    const inParts = async (list: Op[], n: number, at: Stamp): Promise<boolean> => {
+      for (const part of pieces(list, n)) if ((await write(part, at)) === null) return false;
       return true;
     };
     const bulky = Math.max(1, Math.min(most, Math.floor(60 / limits.value_kb)));
-    if (!(await inParts(ops, bulky)) || !(await write([{ put: HEAD, value: head }]))) return;
-    this.head = head;
+    if (!(await inParts(ops, bulky, old.stamp))) return;
+    let stamp = await write([{ put: HEAD, value: head }], old.stamp);
+    // Refused: by an earlier copy of the same write, or because another leads.
+    while (stamp === null && !this.stopped) {
+      const k = await store.get(HEAD);
+      if (k && (k.value as HeadValue).upto === upto) stamp = k.stamp;
+      else if (k !== undefined) return;
+      else await sleep(this.clock, 150);
+    }
+    if (stamp === null) return;
+    this.head = { ...head, stamp };
     const rest: Op[] = [];
     for (let n = old.upto + 1; n <= upto; n++) rest.push({ remove: recordKey(n) });
     for (let i = 0; i < old.chunks; i++) rest.push({ remove: chunkKey(old.upto, i) });
-    await inParts(rest, most);
+    await inParts(rest, most, stamp);
     this.folding = false;
     logger.info({ upto, chunks: ops.length, bytes: text.length }, 'folded');
   }
--- a/src/actors/lock.ts
+++ b/src/actors/lock.ts
@@ -10,7 +10,7 @@
 }
 
 /** The worst difference between two steady clocks, doubled. */
-const DRIFT = 0.001;
+export const DRIFT = 0.001;
 
 /**
  * The leader key on a lease of ours. Its time counts from when the renewal was sent: the lease
@@ -36,6 +36,14 @@
     return this.held !== null && this.clock.steady() < this.until;
   }
 
+  /** Until when the lock is certain, or was. */
+  get endsAt(): number {
+    return this.until;
+  }
+
+  /** A take-over is under way: what becomes of it is not known. */
+  contending = false;
+
   /** Milliseconds since the lock was last certain; 0 while it is. */
   uncertainFor(): number {
     return Math.max(0, this.clock.steady() - this.until);
@@ -54,22 +62,9 @@
     const lease = await this.store.lease(this.ttl);
     if (lease === undefined) return null;
     const term = (old + 1) as Term;
-    const r = await this.store.txn(
-      [
-        { key: LEADER, stamp: 0 },
-        { key: TERM, stamp: t?.stamp ?? 0 },
-      ],
-      [
-        { put: LEADER, value: { ...this.me, term }, lease },
-        { put: TERM, value: { term } },
-      ],
-    );
-    let stamp: Stamp | null = r.r === 'done' ? r.revision : null;
-    if (r.r === 'unknown') {
-      const k = await this.store.get(LEADER);
-      const v = k?.value as LeaderValue | undefined;
-      if (k && v?.run === this.me.run && v.term === term && k.lease === lease) stamp = k.stamp;
-    }
+    this.contending = true;
+    const stamp = await this.take(lease, term, t?.stamp ?? 0);
+    this.contending = false;
     if (stamp === null) {
       void this.store.endLease(lease);
       return null;
@@ -81,6 +76,24 @@
     return this.held;
   }
 
+  private async take(lease: LeaseId, term: Term, termStamp: Stamp): Promise<Stamp | null> {
+    const r = await this.store.txn(
+      [
+        { key: LEADER, stamp: 0 },
+        { key: TERM, stamp: termStamp },
+      ],
+      [
+        { put: LEADER, value: { ...this.me, term }, lease },
+        { put: TERM, value: { term } },
+      ],
+    );
+    if (r.r === 'done') return r.revision;
+    if (r.r !== 'unknown') return null;
+    const k = await this.store.get(LEADER);
+    const v = k?.value as LeaderValue | undefined;
+    return k && v?.run === this.me.run && v.term === term && k.lease === lease ? k.stamp : null;
+  }
+
   private renewLoop(): void {
     const mine = this.held;
     const every = this.ttl / 4;
--- a/src/actors/log.ts
+++ b/src/actors/log.ts
@@ -171,9 +171,11 @@
     this.writes.count++;
     this.writes.ms += took;
     this.measure(took);
+    // Guards starts after a confirmed cancellation: a launch of the first record must not leave when the
+    // withdrawal in the second is written already.
+    for (const [i, { record }] of batches.entries()) this.state.apply((first + i) as RecordNo, record);
     for (const [i, { items, record }] of batches.entries()) {
       const no = (first + i) as RecordNo;
-      this.state.apply(no, record);
       for (const w of items) w.done?.(true);
       this.committed.next({ no, record });
       this.log.debug({ no, entries: record.entries.map((e) => e.e) }, 'record written');
--- a/src/actors/workers.ts
+++ b/src/actors/workers.ts
@@ -1,9 +1,17 @@
-import { attemptKey, commands, facts, type Seen } from '../core/recovery.js';
+import {
+  attemptKey,
+  commands,
+  facts,
+  holdsWithdrawn,
+  stopsOfWithdrawn,
+  type Seen,
+} from '../core/recovery.js';
 import { isUp, type Job, type Live, type Machine, type State } from '../core/state.js';
 import type {
   Cause,
   Command,
   Entry,
+  Fence,
   JobId,
   MachineId,
   Session,
@@ -20,27 +28,31 @@
 import type { LogActor } from './log.js';
 
 export type WorkerMessage =
-  | { t: 'report'; report: WorkerReport; reply: (orders: Command[] | null) => void }
+  | { t: 'report'; report: WorkerReport; reply: (a: { fence: Fence; orders: Command[] } | null) => void }
   /** A record was written: its commands may leave. */
   | { t: 'push'; machines: Iterable<MachineId> }
+  /** A withdrawal is on its way into a record: no launch of the job leaves meanwhile. */
+  | { t: 'withdrawing'; job: JobId; open: boolean }
   | { t: 'tick' };
 
 interface Known extends Seen {
   at: Steady;
-  /** A direct message is on its way. */
-  busy: boolean;
-  again: boolean;
+  /** What this worker is sent from now on goes under this fence: all under lower ones is void. */
+  fence: Fence;
   /** This worker has seen our term, so nothing of an earlier one reaches it any more. */
   ours: boolean;
 }
 
+const endKey = (job: JobId, task: number, attempt: number): string => `end ${attemptKey(job, task, attempt)}`;
+
 const DIRECT_MS = 2000;
 /** Nothing ran here for so long: the node stood still, which says nothing about its machines. */
 const STOOD_STILL_MS = 2500;
 /** What queued while the node stood still is read within this time after. */
 const QUEUED_MS = 500;
-/** How long reports are answered without a certain lock: longer than an outage should last. */
-const HOLD_MOST_MS = 60_000;
+/** Who was not reached by an introduction is told again, after ever longer pauses. */
+const INTRODUCE_MS = 2000;
+const INTRODUCE_MOST_MS = 15_000;
 
 /** Hears the workers, and tells them what the log says. */
 export class WorkersActor extends Actor<WorkerMessage> {
@@ -55,9 +67,14 @@
   private since: Steady;
   private lastStep: Steady;
   private wokeAt = -Infinity;
-  /** Machines with commands for which no direct call was free. */
+  /** Machines to which a direct message is on its way, and those that have more to be told after it. */
+  private readonly busy = new Set<MachineId>();
+  private readonly again = new Set<MachineId>();
+  /** Machines with commands for which no direct call was free; those with stops of withdrawn jobs first. */
+  private readonly first = new Set<MachineId>();
   private readonly queued = new Set<MachineId>();
   private open = 0;
+  private readonly introduced = new Map<MachineId, { next: Steady; pause: number }>();
 
   constructor(
     private readonly state: State,
@@ -69,7 +86,8 @@
     /** Direct calls open at once: every machine keeps a connection for its reports besides. */
     private readonly callsMost: number,
     private readonly certain: () => boolean,
-    private readonly uncertainMs: () => number,
+    /** Whether reports may be answered without a certain lock. */
+    private readonly holds: () => boolean,
     private readonly onFact: () => void,
     private readonly onHigher: (term: Term) => void,
     private readonly logger: Logger,
@@ -150,6 +168,11 @@
     return this.started.get(l) ?? null;
   }
 
+  /** Whether its end was shown, though it may not be in a record yet. */
+  ended(l: Live): boolean {
+    return this.telling.has(endKey(l.job.spec.id, l.task, l.attempt));
+  }
+
   /** Whether it only waits for the rest of its gang. */
   waiting(l: Live): boolean {
     return this.doing.get(l) === 'waiting';
@@ -169,8 +192,11 @@
     this.step();
     if (m.t === 'report') m.reply(this.report(m.report));
     else if (m.t === 'push') for (const id of m.machines) this.push(id);
-    else this.tick();
+    else if (m.t === 'tick') this.tick();
+    else if (m.open) this.withdrawing.add(m.job);
+    else this.withdrawing.delete(m.job);
   }
+  private readonly withdrawing = new Set<JobId>();
 
   private take(r: WorkerReport, heard: boolean): Known | null {
     if (r.term > this.term) {
@@ -188,16 +214,21 @@
       k = {
         report: r,
         at: k?.at ?? (-Infinity as Steady),
-        busy: k?.busy ?? false,
-        again: false,
+        fence: k?.fence ?? (0 as Fence),
         ours: false,
-        unsure: new Set(),
-        sent: new Set(),
+        unsure: new Map(),
+        sent: new Map(),
       };
       this.known.set(r.machine, k);
     }
     k.report = r;
-    if (r.term === this.term) k.ours = true;
+    if (r.term === this.term) {
+      k.ours = true;
+      // Launches under a lower fence are void from now on; what they started before is in this report.
+      for (const [key, fence] of k.unsure) if (fence < r.fence) k.unsure.delete(key);
+    }
+    // A worker sends its next report when it has taken, or given up, the answer to the last.
+    if (heard) for (const [key, seq] of k.sent) if (seq < r.seq) k.sent.delete(key);
     // A copy that is late by a term proves nothing: a live worker shows ours with its next report.
     if (heard && (k.ours || r.session > logged) && this.clock.steady() - this.wokeAt > QUEUED_MS)
       k.at = this.clock.steady();
@@ -225,7 +256,7 @@
     }
     const news: [JobId, number, number, Cause, boolean][] = [];
     for (const e of ends) {
-      const key = `end ${attemptKey(e[0], e[1], e[2])}`;
+      const key = endKey(e[0], e[1], e[2]);
       if (this.telling.has(key)) continue;
       keys.push(key);
       news.push(e);
@@ -242,30 +273,36 @@
     });
   }
 
-  private report(r: WorkerReport): Command[] | null {
+  private report(r: WorkerReport): { fence: Fence; orders: Command[] } | null {
     const k = this.take(r, true);
     if (!k) return null;
-    // Without a certain lock nothing is commanded; the answer only keeps the worker's lease.
-    if (this.uncertainMs() > HOLD_MOST_MS) return null;
-    if (!this.certain() || k.report !== r) return [];
-    const { orders } = this.orders(k);
+    const certain = this.certain();
+    if (!certain && !this.holds()) return null;
+    const m = this.state.machines.get(r.machine);
+    // Guards ran_cancelled: whatever renews a lease carries the stops of withdrawn jobs.
+    if (!certain || k.report !== r)
+      return { fence: k.fence, orders: m ? stopsOfWithdrawn(this.state, m, k.report) : [] };
+    const orders = this.orders(k);
     // The answer carries what waited for a direct call.
     this.queued.delete(r.machine);
-    for (const o of orders) if (o.op === 'start') k.sent.add(attemptKey(o.job, o.task, o.attempt));
-    return orders;
+    this.first.delete(r.machine);
+    for (const o of orders) if (o.op === 'start') k.sent.set(attemptKey(o.job, o.task, o.attempt), r.seq);
+    return { fence: k.fence, orders };
   }
 
-  private orders(k: Known): { orders: Command[] } {
-    const { orders, unsent } = commands(this.state, k, this.settled());
+  private orders(k: Known): Command[] {
+    const { orders, unsent, above } = commands(this.state, k, this.settled());
+    if (above !== null && above >= k.fence) k.fence = (above + 1) as Fence;
     if (unsent.length > 0 && k.ours) this.tellVoid(unsent);
-    return { orders };
+    if (this.withdrawing.size === 0) return orders;
+    return orders.filter((o) => o.op !== 'start' || !this.withdrawing.has(o.job));
   }
 
   /** Starts that were logged and stopped before any launch left need no worker to end. */
   private tellVoid(unsent: Live[]): void {
     const news: [JobId, number, number, Cause, boolean][] = [];
     for (const l of unsent) {
-      const key = `end ${attemptKey(l.job.spec.id, l.task, l.attempt)}`;
+      const key = endKey(l.job.spec.id, l.task, l.attempt);
       if (this.telling.has(key)) continue;
       this.telling.add(key);
       news.push([l.job.spec.id, l.task, l.attempt, 'void', false]);
@@ -274,50 +311,41 @@
     this.log.tell({
       entries: [{ e: 'end', p: news }],
       done: () => {
-        for (const n of news) this.telling.delete(`end ${attemptKey(n[0], n[1], n[2])}`);
+        for (const n of news) this.telling.delete(endKey(n[0], n[1], n[2]));
       },
     });
   }
 
   private push(id: MachineId): void {
-    const k = this.known.get(id);
     const m = this.state.machines.get(id);
-    if (!m || m.drop || !m.addr || this.stopped) return;
-    if (!k) return;
-    if (k.busy) {
-      k.again = true;
-      return;
-    }
-    if (!this.certain()) return;
+    if (!m?.addr || this.stopped) return;
+    if (this.busy.has(id)) return void this.again.add(id);
+    const k = this.known.get(id);
+    const urgent = holdsWithdrawn(m);
+    const all = this.certain() && !m.drop && k !== undefined;
+    if (!all && !urgent) return;
     // Bounded however many machines a record touches: what is over it waits for a free call, or for
     // the worker's next report.
-    if (this.open >= this.callsMost) {
-      this.queued.add(id);
-      return;
-    }
+    if (this.open >= this.callsMost) return void (urgent ? this.first : this.queued).add(id);
     // Only the answer to a report forgets: a direct message may be executed late.
-    const orders = this.orders(k).orders.filter((o) => o.op !== 'forget');
-    if (orders.length > 0) this.direct(k, m, orders);
+    const orders: Command[] = all ? this.orders(k).filter((o) => o.op !== 'forget') : [];
+    if (urgent && orders.length === 0)
+      orders.push(...stopsOfWithdrawn(this.state, m, k?.report.session === m.session ? k.report : null));
+    if (orders.length > 0 || (k?.ours && k.fence > k.report.fence)) this.direct(m, k, orders);
   }
 
-  private direct(k: Known, m: Machine, orders: Command[]): void {
-    const session = k.report.session;
+  private direct(m: Machine, k: Known | undefined, orders: Command[]): void {
     const starts = orders.filter((o) => o.op === 'start').map((o) => attemptKey(o.job, o.task, o.attempt));
-    for (const s of starts) {
-      k.sent.add(s);
-      k.unsure.add(s);
-    }
-    k.busy = true;
-    this.callWorker(m, session, orders, (a) => {
-      k.busy = false;
+    for (const s of starts) k?.unsure.set(s, k.fence);
+    this.busy.add(m.id);
+    this.callWorker(m, k?.report.session ?? m.session, orders, (a) => {
+      // Guards against a worker that is never called again, whatever became of its session meanwhile.
+      this.busy.delete(m.id);
       if (a && (a.status === 200 || a.status === 409)) {
-        for (const s of starts) k.unsure.delete(s);
+        for (const s of starts) k?.unsure.delete(s);
         this.takeAnswer(m, a);
       }
-      if (k.again) {
-        k.again = false;
-        this.push(m.id);
-      }
+      if (this.again.delete(m.id)) this.push(m.id);
     });
   }
 
@@ -329,16 +357,18 @@
     then: (a: HttpAnswer | null) => void,
   ): void {
     this.open++;
-    void this.call(m.addr, 'POST', '/orders', writeDirect(this.term, session, orders), DIRECT_MS).then(
+    const fence = this.known.get(m.id)?.fence ?? (0 as Fence);
+    void this.call(m.addr, 'POST', '/orders', writeDirect(this.term, fence, session, orders), DIRECT_MS).then(
       (a) => {
         if (this.stopped) return;
         this.open--;
         then(a);
-        for (const id of this.queued) {
-          if (this.open >= this.callsMost) return;
-          this.queued.delete(id);
-          this.push(id);
-        }
+        for (const waiting of [this.first, this.queued])
+          for (const id of waiting) {
+            if (this.open >= this.callsMost) return;
+            waiting.delete(id);
+            this.push(id);
+          }
       },
     );
   }
@@ -352,23 +382,27 @@
   }
 
   private tick(): void {
-    for (const id of this.known.keys()) if (!this.state.machines.has(id)) this.known.delete(id);
+    for (const all of [this.known, this.introduced])
+      for (const id of all.keys()) if (!this.state.machines.has(id)) all.delete(id);
+    // Guards ran_cancelled: stops of withdrawn jobs go out again until a report shows the end, certain
+    // lock or not. They carry the term, so a former leader's answers hold the task no longer.
+    for (const m of this.state.machines.values()) if (holdsWithdrawn(m)) this.push(m.id);
     // Workers still held by a former leader learn of the new term, and drop that one's answers.
     const now = this.clock.steady();
     // Most come by themselves within a report's time, when a new leader has the most to do.
-    const first = this.reportS * 1250 + 500;
-    if (now - this.since > first && now - this.since < first + 20_000 && this.certain())
-      for (const m of this.state.machines.values()) {
-        if (this.open >= this.callsMost) break;
-        if (!isUp(m) || !m.addr || this.known.get(m.id)?.ours) continue;
-        if (this.introducing.has(m.id)) continue;
-        this.introducing.add(m.id);
-        this.callWorker(m, m.session, [], (x) => {
-          // Who was not reached is told again.
-          this.introducing.delete(m.id);
-          if (!this.takeAnswer(m, x)) this.logger.debug({ machine: m.id }, 'worker not reached');
-        });
-      }
+    if (now - this.since <= this.reportS * 1250 + 500) return;
+    for (const m of this.state.machines.values()) {
+      if (this.open >= this.callsMost) break;
+      if (!isUp(m) || !m.addr || this.known.get(m.id)?.ours || this.busy.has(m.id)) continue;
+      const i = this.introduced.get(m.id) ?? { next: now, pause: INTRODUCE_MS };
+      if (i.next > now) continue;
+      this.introduced.set(m.id, {
+        next: (now + DIRECT_MS + i.pause) as Steady,
+        pause: Math.min(INTRODUCE_MOST_MS, i.pause * 2),
+      });
+      this.callWorker(m, m.session, [], (x) => {
+        if (!this.takeAnswer(m, x)) this.logger.debug({ machine: m.id }, 'worker not reached');
+      });
+    }
   }
-  private readonly introducing = new Set<MachineId>();
 }
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -67,7 +67,7 @@
     hostPort(settings.back),
     settings.seeds.map((p) => ({ node: p.node as NodeId, ...hostPort(p.peer_addr) })),
     () => controller.status(),
-    { ask: (a) => controller.asked(a), status: (s) => controller.peerStatus(s) },
+    { ask: (a) => controller.asked(a), status: (s, asked) => controller.peerStatus(s, asked) },
     logger,
   );
   const http = server(
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -28,6 +28,8 @@
   silent: (m: Machine) => number;
   /** Most machines are silent at once. */
   deaf: boolean;
+  /** A withdrawn task that stops have not ended in time. */
+  overdue: (l: Live) => boolean;
   leaseS: number;
   policy: Policy;
   bootMost: (t: MachineType | undefined) => number;
@@ -224,6 +226,7 @@
       ? Math.max(input.policy.silence(of), input.leaseS * 1.25 + 3)
       : input.policy.silence(of);
     if (silent > most) add('silent', m);
+    else if (m.stopping > 0 && [...m.live].some(input.overdue)) add('withdrawn', m);
     else if (m.errors >= 2) add('faulty', m);
     else if (
       m.live.size === 0 &&
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -27,6 +27,10 @@
   within: (c: string) => number;
   /** Whether a task still waits for its image. */
   fetching: (l: Live) => boolean;
+  /** Whether more of a type, zone and kind may be had. */
+  rentable: (type: string, zone: string, spot: boolean) => boolean;
+  /** Machines that the last round held or emptied for a gang: other work goes elsewhere if it can. */
+  held: ReadonlySet<Machine>;
   /** At most this many starts in one round. */
   most: number;
 }
@@ -38,6 +42,8 @@
   unplaced: { job: Job; tasks: number; guaranteed: boolean; zone: string | null }[];
   /** Machines that are not idle though they look so: work starts there, or places are held. */
   keep: Set<Machine>;
+  /** Those of them that wait for a gang. */
+  held: Set<Machine>;
   room: (m: Machine) => Resources;
   /** What tasks that are being stopped will add to it. */
   soon: (m: Machine) => Resources;
@@ -54,6 +60,8 @@
   total: number;
   /** Of a type that is the only one for some of the work. */
   scarce: boolean;
+  /** A gang waits for it. */
+  held: boolean;
   /** Something runs here, or will after this round. */
   awake: boolean;
   /** What tasks that are being stopped will leave. */
@@ -153,6 +161,7 @@
   (r.m.spot ? (j.spec.gang ? Math.min(j.spec.tasks, 12) : fragile ? 15 : 0) : 4) +
   // Room that only larger work needs is left to it.
   (r.scarce && !j.spec.gang && !r.m.spot ? 15 : 0) +
+  (r.held && !needsAll(j.spec) ? 20 : 0) +
   ((r.cpus - j.spec.cpus) / r.total) * 6;
 
 /**
@@ -252,7 +261,9 @@
   tasks: number,
   /** Machines that could be emptied for a gang that waits for too long. */
   drainable: Room[],
-  keep: Set<Machine>,
+  /** How many of its tasks a zone could hold. */
+  could: (zone: string) => number,
+  held: Set<Machine>,
 ): { n: number; zone: string | null } {
   const s = job.spec;
   if (s.spread) return { n: 0, zone: null };
@@ -281,19 +292,21 @@
   const by = new Map<string, number>();
   for (const r of drainable) by.set(r.m.zone, (by.get(r.m.zone) ?? 0) + 0.01);
   for (const r of open) by.set(r.m.zone, (by.get(r.m.zone) ?? 0) + slots(r, s));
-  const zone = [...by].sort((a, b) => b[1] - a[1])[0]?.[0];
+  // Holding or emptying machines of a zone that could not take the gang were all of them empty serves nobody.
+  const most = new Map([...by.keys()].map((z) => [z, Math.min(tasks, could(z))]));
+  const zone = [...by].sort((a, b) => most.get(b[0])! - most.get(a[0])! || b[1] - a[1])[0]?.[0];
   const here = (r: Room): boolean => !s.oneZone || r.m.zone === zone;
   const places = take(open.filter(here), (r) => r);
-  for (const x of places) keep.add(x.r.m);
-  const held = sum(places);
+  for (const x of places) held.add(x.r.m);
+  const found = sum(places);
   // The emptiest get no new work until they are empty.
-  const rest = drainable.filter((r) => here(r) && r.cpus > EPS && !fits(r, s));
+  const rest = drainable.filter((r) => here(r) && !fits(r, s));
   rest.sort((a, b) => b.cpus - a.cpus);
-  for (const r of rest.slice(0, tasks - held.n)) {
+  for (const r of rest.slice(0, tasks - found.n)) {
     r.cpus = 0;
-    keep.add(r.m);
+    held.add(r.m);
   }
-  return held;
+  return found;
 }
 
 const NONE: Resources = Object.freeze({ cpus: 0, gpus: 0, mem: 0 });
@@ -333,6 +346,7 @@
       fetch: t.fetch,
       total: t.cpus,
       scarce: scarce.has(t.name),
+      held: input.held.has(m),
       awake: m.live.size > 0,
     });
   }
@@ -347,7 +361,27 @@
   const unplaced: PlacementResult['unplaced'] = [];
   let starts = 0;
   let draining = false;
+  const machines = new Map<string, { type: string; zone: string; spot: boolean; n: number }>();
+  for (const { m } of rooms) {
+    const key = `${m.type}|${m.zone}|${m.spot}`;
+    const k = machines.get(key) ?? { type: m.type, zone: m.zone, spot: m.spot, n: 0 };
+    machines.set(key, k);
+    k.n++;
+  }
+  /** How many of a job's tasks a zone's machines would hold if all were empty; no end while more can be rented. */
+  const inZone = (job: Job, zone: string): number => {
+    let n = 0;
+    for (const t of state.types.values())
+      if (fitsType(job.spec, t) && t.zones.includes(zone))
+        for (const spot of [true, false])
+          if (allowed(job, { type: t.name, zone, spot }))
+            n += input.rentable(t.name, zone, spot)
+              ? Infinity
+              : slots(t, job.spec) * (machines.get(`${t.name}|${zone}|${spot}`)?.n ?? 0);
+    return n;
+  };
   const keep = new Set<Machine>();
+  const waiting = new Set<Machine>();
 
   for (const { job, guaranteed } of input.claims) {
     const spec = job.spec;
@@ -438,7 +472,8 @@
       job,
       left,
       drain ? rooms.filter(could) : [],
-      keep,
+      (z) => inZone(job, z),
+      waiting,
     );
     if (drain) some = some.filter((r) => r.cpus > EPS);
     if (left > held.n) unplaced.push({ job, tasks: left - held.n, guaranteed, zone: held.zone });
@@ -447,7 +482,8 @@
     entries,
     starts,
     unplaced,
-    keep,
+    keep: new Set([...keep, ...waiting]),
+    held: waiting,
     room: (m) => plus(roomOf.get(m.id) ?? NONE, NONE),
     soon: (m) => roomOf.get(m.id)?.soon ?? NONE,
   };
--- a/src/core/recovery.ts
+++ b/src/core/recovery.ts
@@ -1,13 +1,13 @@
-import type { Live, State } from './state.js';
-import type { Cause, Command, Entry, JobId, WorkerReport } from './types.js';
+import { CANCELLED, type Live, type Machine, type State } from './state.js';
+import type { Cause, Command, Entry, Fence, JobId, WorkerReport } from './types.js';
 
 /** What one worker has shown, as far as this leader has seen it. */
 export interface Seen {
   report: WorkerReport;
-  /** Attempts for which a direct launch was sent and not answered. */
-  unsure: Set<string>;
-  /** Attempts for which this leader may have sent a launch in any way. */
-  sent: Set<string>;
+  /** Attempts for which a direct launch was sent and not answered, and the fence that it went under. */
+  unsure: Map<string, Fence>;
+  /** Attempts launched in the answer to a report, and that report's number: the next report settles them. */
+  sent: Map<string, number>;
 }
 
 export const attemptKey = (job: string, task: number, attempt: number): string => `${job}/${task}#${attempt}`;
@@ -32,17 +32,27 @@
   return { up, ends };
 }
 
+export interface Commands {
+  orders: Command[];
+  /** Starts that were stopped and that no launch will reach any more. */
+  unsent: Live[];
+  /** Fences whose launches may be on their way and must not start anything: the worker's next is higher. */
+  above: Fence | null;
+}
+
 /**
  * The commands that bring a worker from what it reports to what the log says. They follow from
  * committed state alone, so a decision is never sent before its record is written, and a new
  * leader resends exactly the starts that the report does not show.
  */
-export function commands(state: State, seen: Seen, mayStart: boolean): { orders: Command[]; unsent: Live[] } {
+export function commands(state: State, seen: Seen, mayStart: boolean): Commands {
   const r = seen.report;
   const m = state.machines.get(r.machine);
   const orders: Command[] = [];
   const unsent: Live[] = [];
-  if (!m || m.session !== r.session) return { orders, unsent };
+  let above: Fence | null = null;
+  const settle = (fence: Fence): void => void (above = Math.max(above ?? 0, fence) as Fence);
+  if (!m || m.session !== r.session) return { orders, unsent, above };
   const shown = new Set<Live>();
   for (const t of r.tasks) {
     const l = state.jobs.get(t.job)?.live.get(t.task);
@@ -52,25 +62,57 @@
     if (ours && !l.stop && t.state !== 'exited') continue;
     const ref = { job: t.job, task: t.task, attempt: t.attempt };
     if (t.state === 'exited') {
-      const key = attemptKey(t.job, t.task, t.attempt);
       // Guards ran_twice: forgetting an attempt lets a late launch run it again, so the end is
       // recorded first, and no launch of it may still be on its way.
-      if (!ours && !seen.unsure.has(key)) orders.push({ op: 'forget', ...ref });
+      const launched = seen.unsure.get(attemptKey(t.job, t.task, t.attempt));
+      if (launched !== undefined) settle(launched);
+      else if (!ours) orders.push({ op: 'forget', ...ref });
     } else if (!ours) orders.push({ op: 'stop', ...ref, grace: 0 });
     else if (l.stop && (t.state !== 'saving' || l.stop.grace === 0))
       orders.push({ op: 'stop', ...ref, grace: l.stop.grace });
   }
-  if (shown.size === m.live.size) return { orders, unsent };
+  if (shown.size === m.live.size) return { orders, unsent, above };
   for (const l of m.live) {
     if (l.session !== m.session || shown.has(l)) continue;
     const key = attemptKey(l.job.spec.id, l.task, l.attempt);
-    const ref = { job: l.job.spec.id, task: l.task, attempt: l.attempt };
     if (!l.stop) {
-      if (mayStart && !m.drop) orders.push({ op: 'start', ...ref });
-    } else if (seen.sent.has(key)) {
-      // A launch may still be on its way: let the worker know the attempt and end it in one go.
-      orders.push({ op: 'start', ...ref }, { op: 'stop', ...ref, grace: 0 });
-    } else if (mayStart) unsent.push(l);
+      if (mayStart && !m.drop)
+        orders.push({ op: 'start', job: l.job.spec.id, task: l.task, attempt: l.attempt });
+      continue;
+    }
+    // Guards starts after a confirmed cancellation: a launch that may still arrive is neither repeated
+    // nor stopped (the worker knows nothing to stop), but made void by a higher fence.
+    const launched = seen.unsure.get(key);
+    if (launched !== undefined) settle(launched);
+    else if (!seen.sent.has(key) && mayStart) unsent.push(l);
+  }
+  return { orders, unsent, above };
+}
+
+/** Whether a task is stopped because its job was withdrawn. */
+export const withdrawn = (l: Live): boolean => l.stop?.why === CANCELLED;
+
+/** Whether tasks of withdrawn jobs may be on a machine. */
+export function holdsWithdrawn(m: Machine): boolean {
+  if (m.stopping > 0) for (const l of m.live) if (withdrawn(l)) return true;
+  return false;
+}
+
+/**
+ * The stops of withdrawn jobs: a withdrawal in the log is final, so telling of it is no decision, and
+ * needs no certain lock. Without a report the log alone says what may be there.
+ */
+export function stopsOfWithdrawn(state: State, m: Machine, r: WorkerReport | null): Command[] {
+  const orders: Command[] = [];
+  const exited = new Set<string>();
+  for (const t of r?.tasks ?? []) {
+    if (t.state === 'exited') exited.add(attemptKey(t.job, t.task, t.attempt));
+    else if (state.finals.get(t.job)?.s === 'cancelled' && !state.jobs.get(t.job)?.live.has(t.task))
+      orders.push({ op: 'stop', job: t.job, task: t.task, attempt: t.attempt, grace: 0 });
   }
-  return { orders, unsent };
+  if (m.stopping > 0)
+    for (const l of m.live)
+      if (withdrawn(l) && !exited.has(attemptKey(l.job.spec.id, l.task, l.attempt)))
+        orders.push({ op: 'stop', job: l.job.spec.id, task: l.task, attempt: l.attempt, grace: 0 });
+  return orders;
 }
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -80,6 +80,9 @@
 
 export type Final = { s: 'done' | 'cancelled'; done: number };
 
+/** Why the tasks of a withdrawn job are stopped. */
+export const CANCELLED = 'cancelled';
+
 /** Why tasks that wait for a gang which can't start any more are stopped. */
 export const BROKEN = 'broken';
 
@@ -211,7 +214,7 @@
     // Guards ran_cancelled: what may be on a machine is stopped at once, without grace.
     for (const l of job.live.values()) {
       if (!l.stop) l.machine.stopping++;
-      l.stop = { grace: 0, at, why: 'cancelled' };
+      l.stop = { grace: 0, at, why: CANCELLED };
     }
     this.finals.set(id, { s: 'cancelled', done: job.done });
     this.tidy(job);
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -10,6 +10,8 @@
 export type Session = Brand<number, 'Session'>;
 export type Attempt = Brand<number, 'Attempt'>;
 export type RecordNo = Brand<number, 'RecordNo'>;
+/** Raised by a leader for one worker, within its term: what it sent there before under a lower one is void. */
+export type Fence = Brand<number, 'Fence'>;
 /** Time of day in milliseconds; differs between nodes by up to the platform's bound. */
 export type Wall = Brand<number, 'Wall'>;
 /** Milliseconds on one node's steady clock; means nothing on another node. */
@@ -85,6 +87,7 @@
   session: Session;
   seq: number;
   term: Term;
+  fence: Fence;
   notice: number | null;
   tasks: TaskReport[];
 }
--- a/src/io/peers.ts
+++ b/src/io/peers.ts
@@ -1,6 +1,7 @@
 import net from 'node:net';
 import { Root, type Message } from 'protobufjs/light.js';
-import type { NodeId } from '../core/types.js';
+import type { NodeId, Steady } from '../core/types.js';
+import { realClock } from './clock.js';
 import type { Logger } from './logger.js';
 
 /** What a node tells the others about itself, twice a second. */
@@ -9,6 +10,13 @@
   run: string;
   term: number;
   leading: boolean;
+  /** Who leads, or led last, as far as it knows, and under which term; empty: nobody known. */
+  leader: string;
+  leaderTerm: number;
+  /** A take-over of its own is under way. */
+  takingOver: boolean;
+  /** How far back its knowledge of terms reaches, in milliseconds. */
+  remembersMs: number;
   /** Workers whose reports reached this node lately. */
   workers: number;
   /** Milliseconds since the state service last answered this node. */
@@ -47,6 +55,10 @@
         leading: { type: 'bool', id: 4 },
         workers: { type: 'uint32', id: 5 },
         stateAge: { type: 'double', id: 6 },
+        leader: { type: 'string', id: 7 },
+        leaderTerm: { type: 'double', id: 8 },
+        takingOver: { type: 'bool', id: 9 },
+        remembersMs: { type: 'double', id: 10 },
       },
     },
     Ask: {
@@ -71,6 +83,7 @@
         status: { type: 'Status', id: 1 },
         ask: { type: 'Ask', id: 2 },
         answer: { type: 'Answer', id: 3 },
+        asked: { type: 'double', id: 4 },
       },
     },
   },
@@ -79,6 +92,8 @@
 
 interface FrameValue {
   status?: PeerStatus | null;
+  /** With a status: when the question was put, on the clock of who put it; the answer says it again. */
+  asked?: number;
   ask?: ({ id: number } & PeerAsk) | null;
   answer?: ({ id: number } & PeerAnswer) | null;
 }
@@ -129,7 +144,7 @@
     private readonly mine: () => PeerStatus,
     private readonly on: {
       ask: (a: PeerAsk) => Promise<PeerAnswer>;
-      status: (s: PeerStatus) => void;
+      status: (s: PeerStatus, asked?: Steady) => void;
     },
     private readonly log: Logger,
   ) {}
@@ -157,7 +172,7 @@
           (f) => {
             if (f.status) {
               this.heard(f.status);
-              s.write(encode({ status: this.mine() }));
+              s.write(encode({ status: this.mine(), asked: f.asked }));
             }
             if (f.ask) {
               const { id, ...ask } = f.ask;
@@ -176,30 +191,31 @@
     for (const p of this.peers) this.dial(p);
   }
 
-  private heard(s: PeerStatus): void {
-    this.known.set(s.node, { status: s, at: performance.now() });
-    this.on.status(s);
+  private heard(s: PeerStatus, asked?: Steady): void {
+    this.known.set(s.node, { status: s, at: realClock.steady() });
+    this.on.status(s, asked);
   }
 
   private dial(p: { node: NodeId; host: string; port: number }): void {
     const s = net.connect({ host: p.host, port: p.port, noDelay: true });
     this.sockets.add(s);
-    let last = performance.now();
+    let last = realClock.steady();
+    const ask = (): void => void s.write(encode({ status: this.mine(), asked: realClock.steady() }));
     const tick = setInterval(() => {
-      if (performance.now() - last > SILENT_MS) s.destroy();
-      else if (!s.connecting) s.write(encode({ status: this.mine() }));
+      if (realClock.steady() - last > SILENT_MS) s.destroy();
+      else if (!s.connecting) ask();
     }, 500);
     s.on('connect', () => {
-      last = performance.now();
+      last = realClock.steady();
       this.open.set(p.node, s);
-      s.write(encode({ status: this.mine() }));
+      ask();
     });
     s.on(
       'data',
       reader(
         (f) => {
-          last = performance.now();
-          if (f.status) this.heard(f.status);
+          last = realClock.steady();
+          if (f.status) this.heard(f.status, f.asked as Steady);
           if (f.answer) {
             const { id, ...a } = f.answer;
             this.waiting.get(id)?.end(a);
@@ -239,7 +255,7 @@
   }
 
   statuses(): { status: PeerStatus; age: number }[] {
-    const now = performance.now();
+    const now = realClock.steady();
     return [...this.known.values()].map((k) => ({ status: k.status, age: now - k.at }));
   }
 }
--- a/src/io/server.ts
+++ b/src/io/server.ts
@@ -34,7 +34,7 @@
     const r = size > BODY_MOST ? null : readReport(parse(parts));
     if (!r) return json(res, 400, { error: 'malformed report' });
     c.hello(r, (h) => {
-      if (h.answer === 'stay') json(res, 200, writeOrders(h.term, h.orders));
+      if (h.answer === 'stay') json(res, 200, writeOrders(h.term, h.fence, h.orders));
       else json(res, 421, writeElsewhere(h.leader));
     });
   });
--- a/src/wire/schemas.ts
+++ b/src/wire/schemas.ts
@@ -4,6 +4,7 @@
   Attempt,
   Cause,
   Command,
+  Fence,
   JobId,
   JobSpec,
   MachineId,
@@ -28,18 +29,18 @@
   urgency: z.enum(['production', 'high', 'standard', 'low']),
   shifts: z.number().int().min(1).max(100_000),
   cpus: z.number().gt(0),
-  accelerators: amount.nullish(),
+  accelerators: amount,
   mem_gb: amount,
   kit: z.string().max(500),
   image_gb: amount,
   breeds: z.array(z.string().max(100)).max(50).nullish(),
   yard: z.string().max(100).nullish(),
-  together: z.boolean().nullish(),
-  spread: z.boolean().nullish(),
-  loaners: z.boolean().nullish(),
+  together: z.boolean(),
+  spread: z.boolean(),
+  loaners: z.boolean(),
   reckon_s: amount,
-  waymark_s: amount.nullish(),
-  stow_s: amount.nullish(),
+  waymark_s: amount,
+  stow_s: amount,
   due_s: amount.nullish(),
 });
 
@@ -66,18 +67,18 @@
       priority: priorityIn[b.urgency]!,
       tasks: b.shifts,
       cpus: b.cpus,
-      gpus: b.accelerators ?? 0,
+      gpus: b.accelerators,
       mem: b.mem_gb,
       image: b.kit,
       imageGb: b.image_gb,
       types: b.breeds ?? null,
       zone: b.yard ?? null,
-      oneZone: b.together ?? false,
-      spread: b.spread ?? false,
-      spot: b.loaners ?? false,
+      oneZone: b.together,
+      spread: b.spread,
+      spot: b.loaners,
       estimate: b.reckon_s,
-      checkpoint: b.waymark_s ?? 0,
-      save: b.stow_s ?? 0,
+      checkpoint: b.waymark_s,
+      save: b.stow_s,
       deadline: b.due_s ?? null,
     },
   };
@@ -94,6 +95,10 @@
   ...counts,
 });
 
+/** A worker's token orders terms, and within a term the fences that its leader raised for this worker. */
+const FENCES = 2 ** 20;
+const token = (term: Term, fence: Fence): number => term * FENCES + fence;
+
 const stateIn: Record<string, TaskState> = {
   fetching: 'fetching',
   waiting: 'waiting',
@@ -147,7 +152,8 @@
     spot: b.loaners ?? false,
     session: b.stint as Session,
     seq: b.tally,
-    term: b.warrant as Term,
+    term: Math.floor(b.warrant / FENCES) as Term,
+    fence: (b.warrant % FENCES) as Fence,
     notice: b.recall_s ?? null,
     tasks: (b.shifts ?? []).map((t): TaskReport => {
       const cut = t.shift.lastIndexOf('/');
@@ -170,12 +176,12 @@
   return { verb: 'clear', shift, try: c.attempt };
 };
 
-export const writeOrders = (term: Term, orders: Command[]): object => ({
-  warrant: term,
+export const writeOrders = (term: Term, fence: Fence, orders: Command[]): object => ({
+  warrant: token(term, fence),
   orders: orders.map(writeCommand),
 });
-export const writeDirect = (term: Term, session: Session, orders: Command[]): object => ({
-  warrant: term,
+export const writeDirect = (term: Term, fence: Fence, session: Session, orders: Command[]): object => ({
+  warrant: token(term, fence),
   stint: session,
   orders: orders.map(writeCommand),
 });
--- a/test/checker.test.ts
+++ b/test/checker.test.ts
@@ -10,6 +10,15 @@
   const job = (over: Partial<JobOnWire> = {}): JobOnWire =>
     ({
       name_id: 'wk-1',
+      duty: 'any',
+      urgency: 'low',
+      accelerators: 0,
+      mem_gb: 1,
+      kit: 'img',
+      image_gb: 1,
+      reckon_s: 1,
+      waymark_s: 0,
+      stow_s: 0,
       desk: 'red',
       shape: 'array',
       shifts: 2,
@@ -60,6 +69,51 @@
     c.finish();
     expect(rules()).toEqual(['ran_cancelled']);
   });
+  it('a cancelled task that goes on after its machine hung, and starts after a confirmed cancellation', () => {
+    c.submitted(job());
+    c.start('wk-1', 0, place('m1'));
+    c.willWithdraw('wk-1');
+    c.answer('withdraw', 'wk-1', 200, 'aborted');
+    now = 10_000;
+    c.start('wk-1', 1, place('m2'));
+    expect([rules(), c.lateStarts]).toEqual([[], ['wk-1/1']]);
+    c.end('wk-1', 1, place('m2'), false);
+    // The hang is over, its lease was not: the task goes on until its stop arrives.
+    now = 45_500;
+    c.end('wk-1', 0, place('m1'), false);
+    expect(rules()).toEqual(['ran_cancelled']);
+  });
+  it('what is accepted though it lacks a field or can never run', () => {
+    const odd: Partial<JobOnWire>[] = [{ spread: undefined }, { cpus: 9 }, { desk: 'nobody' }, { yard: 'z' }];
+    for (const [i, over] of [{}, ...odd].entries()) {
+      c.submitted(job({ name_id: `wk-${i}`, ...over }));
+      c.answer('submit', `wk-${i}`, 201, 'queued');
+    }
+    expect(c.broken.map((b) => b.slice(0, 11))).toEqual([
+      'unfit: wk-1',
+      'unfit: wk-2',
+      'unfit: wk-3',
+      'unfit: wk-4',
+    ]);
+  });
+  it('a job that waits for 90 s while a machine that fits has room and its team is under its limit', () => {
+    const free = (cpus: number, zone = 'a') => [{ place: place('m1', zone), cpus, mem: 9 }];
+    const wait = (m: ReturnType<typeof free>): void => {
+      for (const end = now + 100_000; now < end; now += 5000) c.waits(m);
+    };
+    c.submitted(job({ yard: 'a' }));
+    c.answer('submit', 'wk-1', 201, 'queued');
+    wait(free(3));
+    wait(free(4, 'b'));
+    c.start('wk-1', 0, place('m1'));
+    c.submitted(job({ name_id: 'wk-2', cpus: 8, shifts: 1 }));
+    c.answer('submit', 'wk-2', 201, 'queued');
+    // Its other task waits by right while nothing is free, and wk-2 while its team is at its limit.
+    wait(free(0));
+    expect(rules()).toEqual([]);
+    wait(free(4));
+    expect(c.broken[0]).toMatch(/^waits: wk-1 /);
+  });
   it('forgotten', () => {
     c.submitted(job());
     c.answer('submit', 'wk-1', 201, 'queued');
--- a/test/fakes/checker.ts
+++ b/test/fakes/checker.ts
@@ -30,12 +30,35 @@
   spot: boolean;
 }
 
+const FIELDS = [
+  'duty',
+  'desk',
+  'shape',
+  'urgency',
+  'shifts',
+  'cpus',
+  'accelerators',
+  'mem_gb',
+  'kit',
+  'image_gb',
+  'together',
+  'spread',
+  'loaners',
+  'reckon_s',
+  'waymark_s',
+  'stow_s',
+] as const;
+
 type Told = 'accepted' | 'done' | 'aborted';
 
 /** Sees what the workers do and what the users are told, and names each broken rule. */
 export class Checker {
   readonly broken: string[] = [];
   starts = 0;
+  /** Starts after a confirmed cancellation. */
+  readonly lateStarts: string[] = [];
+  /** Told when the last task of a job has completed. */
+  onAllDone: (id: string) => void = () => {};
   private readonly jobs = new Map<string, JobOnWire>();
   private readonly told = new Map<string, Told>();
   private readonly asked = new Set<string>();
@@ -98,6 +121,7 @@
       if (o?.desk === j.desk) use += o.cpus * ms.size;
     }
     if (team && use > team.cpusMax + 1e-6) this.say('quota', `${j.desk} uses ${use}`);
+    if (this.cancelled.has(id)) this.lateStarts.push(key);
     this.checkCancelled(key, id);
   }
 
@@ -113,6 +137,7 @@
     if (!done) return;
     const d = this.done.get(id) ?? new Set<number>();
     this.done.set(id, d.add(task));
+    if (d.size === this.jobs.get(id)?.shifts) this.onAllDone(id);
   }
 
   /** An answer to a poll, a submission or a withdrawal. */
@@ -123,6 +148,7 @@
       this.say('forgotten', `${id} gets ${status}`);
     if (status !== 200 && status !== 201) return;
     if (!this.jobs.has(id)) return this.say('invented', id);
+    if (kind === 'submit' && !before) this.checkFit(this.jobs.get(id)!);
     if (standing === 'done') {
       if ((this.done.get(id)?.size ?? 0) < this.jobs.get(id)!.shifts) this.say('not_done', id);
       if (before === 'aborted') this.say('went_back', `${id} from aborted to done`);
@@ -139,6 +165,54 @@
     }
   }
 
+  private allowed(j: JobOnWire, p: Place): boolean {
+    return (
+      (!j.breeds || j.breeds.includes(p.type)) && (!j.yard || j.yard === p.zone) && (j.loaners || !p.spot)
+    );
+  }
+
+  /** What is accepted lacks nothing and can run somewhere. */
+  private checkFit(j: JobOnWire): void {
+    const lacking = FIELDS.filter((f) => j[f] === undefined);
+    const team = this.teams.find((t) => t.name === j.desk);
+    const most = j.cpus * (j.shape === 'ensemble' ? j.shifts : 1);
+    const fits = this.types.some(
+      (t) =>
+        t.cpus >= j.cpus &&
+        t.mem >= j.mem_gb &&
+        t.zones.some((zone) => this.allowed(j, { id: '', type: t.name, zone, spot: false })),
+    );
+    if (lacking.length > 0) this.say('unfit', `${j.name_id} lacks ${lacking.join()}`);
+    else if (!team || most > team.cpusMax || !fits) this.say('unfit', `${j.name_id} can never run`);
+  }
+
+  /**
+   * After the troubles, asked time and again with the machines that are there and what each has free: a job
+   * must not wait while one fits and its team is under its limit.
+   */
+  waits(machines: { place: Place; cpus: number; mem: number }[], mostMs = 90_000): void {
+    for (const [id, told] of this.told) {
+      const j = this.jobs.get(id)!;
+      const present = Array.from({ length: j.shifts }, (_, i) => this.present.get(`${id}/${i}`)?.size ?? 0);
+      const waiting = present.some((n, i) => n === 0 && !this.done.get(id)?.has(i));
+      const free = machines.filter((m) => this.allowed(j, m.place) && m.cpus >= j.cpus && m.mem >= j.mem_gb);
+      const used = [...this.present].reduce((a, [k, ms]) => {
+        const o = this.jobs.get(k.slice(0, k.lastIndexOf('/')));
+        return o?.desk === j.desk ? a + o.cpus * ms.size : a;
+      }, 0);
+      const need = j.shape === 'ensemble' ? j.shifts : 1;
+      const under = used + j.cpus * need <= this.teams.find((t) => t.name === j.desk)!.cpusMax;
+      const zones = new Set(free.map((m) => m.place.zone));
+      const room = [...zones].some((z) => free.filter((m) => m.place.zone === z).length >= need);
+      if (told !== 'accepted' || this.asked.has(id) || !waiting || !under || !room)
+        this.waitsSince.delete(id);
+      else if (!this.waitsSince.has(id)) this.waitsSince.set(id, this.now());
+      else if (this.now() - this.waitsSince.get(id)! > mostMs)
+        this.say('waits', `${id} though a machine fits`);
+    }
+  }
+  private readonly waitsSince = new Map<string, number>();
+
   /** At the end of a story: what is still on machines that should not be. */
   finish(): void {
     for (const [key, ms] of this.present)
--- a/test/fakes/network.ts
+++ b/test/fakes/network.ts
@@ -58,6 +58,12 @@
   /** Requests from a host to machines that are open at once, and the most there were. */
   readonly calls = new Map<string, { open: number; most: number }>();
 
+  /** A host whose requests to controllers are lost, while it is reached and answers. */
+  mute(host: string, ms: number): void {
+    this.muted.set(host, this.time.now + ms);
+  }
+  private readonly muted = new Map<string, number>();
+
   deafen(host: string, ms: number): void {
     this.deaf.set(host, this.time.now + ms);
   }
@@ -109,6 +115,7 @@
             if (cut.hold) this.time.after(cut.until - this.time.now + 1, arrive);
             return;
           }
+          if (address.endsWith(':80') && (this.muted.get(from) ?? 0) > this.time.now) return;
           if (!this.hears(address)) return;
           this.copyLater(path, text);
           const h = this.hosts.get(address);
--- a/test/fakes/state-service.ts
+++ b/test/fakes/state-service.ts
@@ -7,6 +7,11 @@
   tenure?: number;
 }
 
+interface Txn {
+  guards: { key: string; stamp: number }[];
+  apply: { write?: string; data?: unknown; tenure?: number; remove?: string }[];
+}
+
 /** The state service of the protocol: guards, leases, watches, limits and outages. */
 export class FakeStateService {
   readonly kv = new Map<string, Value>();
@@ -15,6 +20,8 @@
   /** Watches do not tell of keys that went with their lease. */
   muteLeases = false;
   refusedTo = new Set<string>();
+  /** Transactions that get no answer, and after how many ms they are carried out; 0: at once, with an answer. */
+  lateMs: (t: Txn) => number = () => 0;
   /** Requests over the limits. */
   over = 0;
   private readonly leases = new Map<number, { ttl: number; until: number }>();
@@ -78,7 +85,12 @@
       this.over++;
       return { status: 429, body: {} };
     }
-    if (method === 'POST' && url.pathname === '/txn') return this.txn(body as never);
+    if (method === 'POST' && url.pathname === '/txn') {
+      const late = this.lateMs(body as Txn);
+      if (late === 0) return this.txn(body as Txn);
+      this.time.after(late, () => this.down || this.txn(body as Txn));
+      return new Promise(() => {});
+    }
     if (method === 'POST' && url.pathname === '/leases') {
       const ttl = (body as { life_ms: number }).life_ms;
       const id = this.nextLease++;
@@ -116,10 +128,7 @@
       : { status: 404, body: { ledger: this.ledger } };
   }
 
-  private txn(t: {
-    guards: { key: string; stamp: number }[];
-    apply: { write?: string; data?: unknown; tenure?: number; remove?: string }[];
-  }): HttpAnswer {
+  private txn(t: Txn): HttpAnswer {
     const now = this.time.now;
     this.writes = this.writes.filter((w) => w.at > now - 1000);
     this.writes.push({ at: now, n: t.apply.length });
--- a/test/fakes/worker.ts
+++ b/test/fakes/worker.ts
@@ -70,13 +70,32 @@
     this.w.workers.delete(this.place.id);
   }
 
+  /** The machine stands still: nothing runs, and what was on it goes on afterwards, if its lease lasts. */
+  hang(ms: number): void {
+    this.hungUntil = this.w.time.now + ms;
+    this.w.time.after(ms, () => this.checkLease());
+  }
+  private hungUntil = 0;
+
+  /** Runs at once, or when the machine goes on. */
+  private awake(run: () => void): void {
+    if (this.hungUntil > this.w.time.now)
+      this.w.time.after(this.hungUntil - this.w.time.now, () => this.awake(run));
+    else run();
+  }
+
+  private checkLease(): void {
+    if (this.alive && this.w.time.now - (this.lastAnswered ?? this.began) > this.w.settings.lease_s * 1000)
+      this.nextSession();
+  }
+
   private leaseWatch(): void {
-    this.w.time.after(100, () => {
-      if (!this.alive) return;
-      if (this.w.time.now - (this.lastAnswered ?? this.began) > this.w.settings.lease_s * 1000)
-        this.nextSession();
-      this.leaseWatch();
-    });
+    this.w.time.after(100, () =>
+      this.awake(() => {
+        this.checkLease();
+        if (this.alive) this.leaseWatch();
+      }),
+    );
   }
 
   /** The lease is over, or the machine is back after a restart. */
@@ -91,7 +110,7 @@
 
   private schedule(ms: number): void {
     this.timer?.();
-    this.timer = this.w.time.after(ms, () => void this.report());
+    this.timer = this.w.time.after(ms, () => this.awake(() => void this.report()));
   }
 
   private changed(): void {
@@ -212,10 +231,11 @@
 
   private later(t: WorkerTask, ms: number, run: () => void): void {
     const v = t.version;
-    this.w.time.after(ms, () => {
+    const due = (): void => {
       if (this.alive && t.version === v && this.tasks.get(`${t.job.name_id}/${t.task}#${t.attempt}`) === t)
         run();
-    });
+    };
+    this.w.time.after(ms, () => this.awake(due));
   }
 
   private peers(t: WorkerTask): { t: WorkerTask; on: FakeWorker }[] {
@@ -278,6 +298,14 @@
       }
   }
 
+  /** What the machine has free. */
+  get free(): { place: Place; cpus: number; mem: number } {
+    const type = this.w.type(this.place.type);
+    const live = [...this.tasks.values()].filter((t) => t.standing !== 'ended');
+    const sum = (of: (j: JobOnWire) => number): number => live.reduce((a, t) => a + of(t.job), 0);
+    return { place: this.place, cpus: type.cpus - sum((j) => j.cpus), mem: type.mem - sum((j) => j.mem_gb) };
+  }
+
   /** A task that goes without an exit: lease over, or machine gone. */
   private leave(t: WorkerTask, done: boolean): void {
     const ran = t.standing === 'running' || t.standing === 'flushing';
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -185,7 +185,7 @@
         controller.hello(r, (h) =>
           ok(
             h.answer === 'stay'
-              ? { status: 200, body: writeOrders(h.term, h.orders) }
+              ? { status: 200, body: writeOrders(h.term, h.fence, h.orders) }
               : { status: 421, body: writeElsewhere(h.leader) },
           ),
         ),
@@ -212,11 +212,12 @@
       clock.after(500, gossip);
       for (const p of this.nodes) {
         if (p.name === name) continue;
+        const asked = clock.steady();
         void call(`${p.name}:81`, 'POST', '/status', controller.status(), 1000).then((a) => {
           if (!a) return;
           const s = a.body as PeerStatus;
           known.set(s.node, { status: s, at: this.time.now });
-          controller.peerStatus(s);
+          controller.peerStatus(s, asked);
         });
       }
     };
@@ -239,6 +240,12 @@
     this.network.freeze(`n${i}`, ms);
   }
 
+  /** A machine hangs, and its host with it. */
+  hang(id: string, ms: number): void {
+    this.network.freeze(id, ms);
+    this.workers.get(id)?.hang(ms);
+  }
+
   leader(): number {
     return this.nodes.findIndex((n) => !n.clock.dead && n.controller.status().leading);
   }
--- a/test/preemption.test.ts
+++ b/test/preemption.test.ts
@@ -52,6 +52,8 @@
       sample: 5,
       usable,
       within: () => 0,
+      held: new Set(),
+      rentable: () => true,
       fetching: () => fetching,
       most: 100,
     });
--- a/test/recovery.test.ts
+++ b/test/recovery.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
-import { commands, attemptKey, type Seen } from '../src/core/recovery.js';
+import { attemptKey, commands, stopsOfWithdrawn, type Seen } from '../src/core/recovery.js';
 import { State } from '../src/core/state.js';
-import type { Entry, MachineId, TaskReport, WorkerReport } from '../src/core/types.js';
+import type { Entry, Fence, MachineId, TaskReport, WorkerReport } from '../src/core/types.js';
 import { box, write } from './fakes/world.js';
 
 const state = (entries: Entry[]): State => {
@@ -33,8 +33,8 @@
     session: 1,
     tasks: tasks.map((t) => ({ job: 'wk-1', attempt: 1, ...t })),
   } as never as WorkerReport,
-  unsure: new Set(),
-  sent: new Set(),
+  unsure: new Map(),
+  sent: new Map(),
   ...over,
 });
 const started: Entry = { e: 'start', job: 'wk-1' as never, p: [[0, 1, 'vm-1' as MachineId]] };
@@ -61,18 +61,36 @@
     expect(commands(state([started, ended]), seen(exited), true).orders).toEqual([
       { op: 'forget', ...first },
     ]);
-    const unsure = new Set([attemptKey('wk-1', 0, 1)]);
-    expect(commands(state([started, ended]), seen(exited, { unsure }), true).orders).toEqual([]);
+    const unsure = new Map([[attemptKey('wk-1', 0, 1), 4 as Fence]]);
+    const held = commands(state([started, ended]), seen(exited, { unsure }), true);
+    // A launch that may be on its way is made void by a fence above its own.
+    expect(held).toMatchObject({ orders: [], above: 4 });
   });
 
-  it('is start and stop together when a cancelled start may still arrive', () => {
-    const sent = new Set([attemptKey('wk-1', 0, 1)]);
-    const c = commands(state([started, withdrawn]), seen([], { sent }), true);
-    expect(c.orders).toEqual([
-      { op: 'start', ...first },
+  it('is no start once the job is withdrawn, though a launch may still arrive: it meets a higher fence', () => {
+    const unsure = new Map([[attemptKey('wk-1', 0, 1), 0 as Fence]]);
+    const s = state([started, withdrawn]);
+    expect(commands(s, seen([], { unsure }), true)).toEqual({ orders: [], unsent: [], above: 0 });
+    // In the answer to a report it is settled by the next report.
+    const sent = new Map([[attemptKey('wk-1', 0, 1), 7]]);
+    expect(commands(s, seen([], { sent }), true)).toEqual({ orders: [], unsent: [], above: null });
+    expect(commands(s, seen([]), true)).toMatchObject({ orders: [], unsent: [{ task: 0 }], above: null });
+    // It arrived before the fence did.
+    expect(commands(s, seen([{ task: 0, state: 'fetching' }], { unsure }), true).orders).toEqual([
       { op: 'stop', ...first, grace: 0 },
     ]);
-    expect(commands(state([started, withdrawn]), seen([]), true).unsent).toHaveLength(1);
+  });
+
+  it('is the stops of withdrawn jobs alone without a certain lock, from the log where no report is at hand', () => {
+    const other: Entry = { e: 'start', job: 'wk-1' as never, p: [[1, 1, 'vm-1' as MachineId]] };
+    const machine = (s: State) => s.machines.get('vm-1' as MachineId)!;
+    const kept = state([started, other]);
+    expect(stopsOfWithdrawn(kept, machine(kept), seen([{ task: 0, state: 'running' }]).report)).toEqual([]);
+    const s = state([started, other, withdrawn]);
+    const both = [0, 1].map((task) => ({ op: 'stop', job: 'wk-1', task, attempt: 1, grace: 0 }));
+    expect(stopsOfWithdrawn(s, machine(s), null)).toEqual(both);
+    const one = seen([{ task: 0, state: 'exited' }]).report;
+    expect(stopsOfWithdrawn(s, machine(s), one)).toEqual([both[1]]);
   });
 
   it('is to stop what the log does not know', () => {
--- a/test/stories.test.ts
+++ b/test/stories.test.ts
@@ -1,35 +1,7 @@
 import { describe, expect, it } from 'vitest';
+import { answered, begun, over, settle } from './fakes/stories.js';
 import { box, World } from './fakes/world.js';
 
-/** A day on which a controller leads already. */
-const begun = async (seed: number): Promise<World> => {
-  const w = new World(seed);
-  await w.started();
-  return w;
-};
-
-const over = async (w: World, mostS: number): Promise<void> => {
-  const all = await w.time.until(() => w.allOver(), mostS * 1000);
-  w.checker.finish();
-  expect(w.checker.broken).toEqual([]);
-  expect(all, 'all jobs are over').toBe(true);
-};
-
-/** Guards forgotten: every node answers for every accepted job within 75 s, whatever happened before. */
-const answered = async (w: World): Promise<void> => {
-  const open = new Set(w.checker.accepted().flatMap((id) => [0, 1, 2].map((n) => `${id} ${n}`)));
-  for (let s = 0; s < 75 && open.size > 0; s += 3) {
-    for (const q of [...open]) {
-      const [id, n] = q.split(' ');
-      void w.ask('show', id!, undefined, Number(n)).then((a) => {
-        if (a.status === 200) open.delete(q);
-      });
-    }
-    await w.time.run(3000);
-  }
-  expect([...open]).toEqual([]);
-};
-
 describe('a quiet day', () => {
   it('runs arrays and gangs, cancels one, and gives the machines back', async () => {
     const w = await begun(1);
@@ -60,13 +32,6 @@
   });
 });
 
-async function settle<T>(w: World, p: Promise<T>): Promise<T> {
-  let out: { v: T } | null = null;
-  void p.then((v) => (out = { v }));
-  await w.time.until(() => out !== null, 10_000);
-  return out!.v;
-}
-
 describe('controllers fail', () => {
   it('another leads after a crash, and nothing runs twice', async () => {
     const w = await begun(3);
@@ -403,23 +368,25 @@
     await over(w, 900);
   });
 
-  it('a gang of many whole machines does not starve behind small work', async () => {
-    const w = new World(54);
-    for (const z of ['a', 'b']) {
-      w.cloud.room.set(`box|${z}|true`, 0);
-      w.cloud.room.set(`box|${z}|false`, z === 'a' ? 5 : 3);
-    }
-    await w.started();
-    for (let i = 0; i < 90; i++)
-      w.time.after(i * 1500, () => w.user(w.job({ desk: 'blue', shifts: 6, cpus: 1, reckon_s: 9 })));
-    await w.time.run(40_000);
-    // More than its team's guarantee: nothing is stopped for it.
-    const gang = w.job({ shape: 'ensemble', shifts: 5, cpus: 8, together: true, reckon_s: 10 });
-    w.user(gang);
-    await w.time.run(80_000);
-    expect(w.checker.standing(gang.name_id)).toBe('done');
-    await over(w, 600);
-  });
+  // With seed 54 alone it passed by luck: the gang held the zone that could never take it.
+  for (const seed of [54, 55, 56, 57])
+    it(`a gang of many whole machines does not starve behind small work, seed ${seed}`, async () => {
+      const w = new World(seed);
+      for (const z of ['a', 'b']) {
+        w.cloud.room.set(`box|${z}|true`, 0);
+        w.cloud.room.set(`box|${z}|false`, z === 'a' ? 5 : 3);
+      }
+      await w.started();
+      for (let i = 0; i < 90; i++)
+        w.time.after(i * 1500, () => w.user(w.job({ desk: 'blue', shifts: 6, cpus: 1, reckon_s: 9 })));
+      await w.time.run(40_000);
+      // More than its team's guarantee: nothing is stopped for it.
+      const gang = w.job({ shape: 'ensemble', shifts: 5, cpus: 8, together: true, reckon_s: 10 });
+      w.user(gang);
+      await w.time.run(80_000);
+      expect(w.checker.standing(gang.name_id)).toBe('done');
+      await over(w, 600);
+    });
 });
 
 describe('the cloud fails', () => {
--- a/test/wire.test.ts
+++ b/test/wire.test.ts
@@ -2,6 +2,7 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import type { Controller } from '../src/actors/controller.js';
 import { later } from '../src/actors/admission.js';
+import { realClock } from '../src/io/clock.js';
 import { PeerLinks, type PeerAsk, type PeerStatus } from '../src/io/peers.js';
 import { server } from '../src/io/server.js';
 import { readSettings } from '../src/wire/settings.js';
@@ -62,8 +63,13 @@
       leading: true,
       workers: 3,
       stateAge: 1,
+      leader: node,
+      leaderTerm: 7,
+      takingOver: false,
+      remembersMs: 1e12,
     });
     const heard: PeerStatus[] = [];
+    const answers: number[] = [];
     const asked: PeerAsk[] = [];
     const free = async (): Promise<number> => {
       const { createServer } = await import('node:net');
@@ -84,7 +90,10 @@
             asked.push(a);
             return Promise.resolve({ status: 200, body: '{"x":1}', retryAfter: 0 });
           },
-          status: (s) => heard.push(s),
+          status: (s, at) => {
+            heard.push(s);
+            if (at) answers.push(at);
+          },
         },
         silent,
       );
@@ -97,7 +106,10 @@
     b.start();
     a.start();
     await expect.poll(() => heard.length, { timeout: 5000 }).toBeGreaterThan(1);
-    expect(heard[0]).toMatchObject({ term: 7, leading: true, workers: 3 });
+    expect(heard[0]).toMatchObject({ term: 7, leading: true, workers: 3, leaderTerm: 7, remembersMs: 1e12 });
+    // An answer says when its question was put, by the clock of who put it.
+    await expect.poll(() => answers.length, { timeout: 5000 }).toBeGreaterThan(1);
+    for (const at of answers) expect(Math.abs(at - realClock.steady())).toBeLessThan(10_000);
     expect(await a.ask('n1', { kind: 'show', job: 'wk-1' })).toMatchObject({ status: 200, body: '{"x":1}' });
     expect(asked[0]).toMatchObject({ kind: 'show', job: 'wk-1' });
     expect(await a.ask('n9', { kind: 'show', job: 'wk-1' })).toBeNull();
--- a/test/workers.test.ts
+++ b/test/workers.test.ts
@@ -1,8 +1,9 @@
 import { describe, expect, it } from 'vitest';
 import { WorkersActor } from '../src/actors/workers.js';
 import { State } from '../src/core/state.js';
-import type { MachineId, Term, WorkerReport } from '../src/core/types.js';
+import type { Entry, MachineId, Term, WorkerReport } from '../src/core/types.js';
 import type { HttpAnswer } from '../src/io/http-client.js';
+import { readReport } from '../src/wire/schemas.js';
 import { NodeClock, VirtualTime } from './fakes/clock.js';
 import { box, silent, write } from './fakes/world.js';
 
@@ -37,7 +38,7 @@
     3,
     MOST,
     () => true,
-    () => 0,
+    () => true,
     () => {},
     () => {},
     silent,
@@ -80,6 +81,91 @@
   });
 });
 
+describe('a launch that may be on its way', () => {
+  /** A leader of one machine, settled; what it sends and tells the log, and what the machine answers. */
+  const one = async () => {
+    const time = new VirtualTime();
+    const state = new State();
+    const m = 'vm-1' as MachineId;
+    const sent: { warrant: number; stint: number; orders: { verb: string }[] }[] = [];
+    const told: Entry[] = [];
+    const answer: { body: object | null } = { body: null };
+    const workers = new WorkersActor(
+      state,
+      { tell: (a: { entries: Entry[] }) => told.push(...a.entries) } as never,
+      (_a, _m, _p, body) => {
+        sent.push(body as never);
+        const a = answer.body ? { status: 200, body: answer.body } : null;
+        return new Promise((ok) => time.after(50, () => ok(a)));
+      },
+      new NodeClock(time, 1, 0),
+      1 as Term,
+      3,
+      MOST,
+      () => true,
+      () => true,
+      () => {},
+      () => {},
+      silent,
+    );
+    let seq = 1;
+    const wire = (warrant: number, stint = 1): object => ({
+      ...{ mount: m, addr: 'vm-1:1', breed: 'box', yard: 'a', loaners: false, stint },
+      ...{ tally: ++seq, warrant, recall_s: null, shifts: [] },
+    });
+    const report = (stint = 1): void =>
+      workers.tell({ t: 'report', report: readReport(wire(2 ** 20, stint))!, reply: () => {} });
+    const push = async (): Promise<void> => {
+      workers.tell({ t: 'push', machines: [m] });
+      await time.run(100);
+    };
+    const up = (s: number): Entry => ({
+      ...{ e: 'up', m, addr: 'vm-1:1', type: 'box', zone: 'a', spot: false, s: s as never },
+    });
+    const job: Entry = { e: 'job', spec: { id: 'wk-1', tasks: 2, cpus: 1, gpus: 0, mem: 1 } as never };
+    write(state, [up(1), job]);
+    report();
+    for (let i = 0; i < 6; i++) {
+      await time.run(1000);
+      workers.tell({ t: 'tick' });
+    }
+    const start = (attempt: number): Entry => ({ e: 'start', job: 'wk-1' as never, p: [[0, attempt, m]] });
+    write(state, [start(1)]);
+    return { state, workers, sent, told, answer, wire, report, push, up, start };
+  };
+
+  it('is made void by a higher fence when its job is withdrawn, and is not sent meanwhile', async () => {
+    const { state, workers, sent, told, answer, wire, push } = await one();
+    const withdrawing = (open: boolean): void =>
+      workers.tell({ t: 'withdrawing', job: 'wk-1' as never, open });
+    withdrawing(true);
+    await push();
+    expect(sent).toEqual([]);
+    withdrawing(false);
+    await push();
+    expect(sent[0]!.orders).toMatchObject([{ verb: 'launch' }]);
+    write(state, [{ e: 'withdraw', job: 'wk-1' as never }]);
+    await push();
+    expect(sent[1]!.warrant).toBeGreaterThan(sent[0]!.warrant);
+    expect(sent[1]!.orders).toMatchObject([{ verb: 'halt' }]);
+    expect(told).toEqual([]);
+    answer.body = wire(sent[1]!.warrant);
+    await push();
+    await push();
+    expect(told).toMatchObject([{ e: 'end', p: [['wk-1', 0, 1, 'void', false]] }]);
+  });
+
+  it('bars no later call, though the session changes while it is open', async () => {
+    const { state, sent, report, push, up, start } = await one();
+    const open = push();
+    report(2);
+    await open;
+    write(state, [up(2), start(2)]);
+    await push();
+    expect(sent.map((x) => x.stint)).toEqual([1, 2]);
+  });
+});
+
 describe('a standstill of the node', () => {
   it('is no silence of machines, and what queued meanwhile is no sign of life', async () => {
     const { time, state, ids, workers, report } = site();
