Questions: one to the leader for all that wait; none is answered past a write under way

A question about a job that the write under way touches now waits for it, at most a second, and is refused after that.

Followers asked the leader for every single question. Now one question for all that wait says how far the leader's log is, and each is answered from the follower's own log once that is here. Questions are read on Node's HTTP server without express, as reports are; /metrics has their times.

A malformed repeat of an accepted job is answered with its state; a passed-on 503 keeps the leader's reason.

--- a/src/actors/admission.ts
+++ b/src/actors/admission.ts
@@ -44,6 +44,8 @@
 
 const ANSWER_MS = 1500;
 const STUCK_MS = 700;
+/** How long a question waits for a write under way. */
+export const SETTLE_MS = 1000;
 const QUEUE_MOST = 400;
 
 /** Takes users' requests on the leader; answers come from recorded state only. */
@@ -67,7 +69,7 @@
 
   protected receive(m: UserRequest): void {
     if (m.kind === 'submit') this.submit(m.spec, m.reply);
-    else if (m.kind === 'show') m.reply(this.show(m.job));
+    else if (m.kind === 'show') this.show(m.job, m.reply);
     else this.withdraw(m.job, m.reply);
   }
 
@@ -75,18 +77,29 @@
     return standing(this.state, id, this.running);
   }
 
-  private show(id: JobId): Reply {
+  private show(id: JobId, reply: (r: Reply) => void): void {
     const f = finalAnswer(this.state, id);
-    if (f) return f;
+    if (f) return reply(f);
     // Guards forgotten and older answers: only a leader that holds its lock may say what can change.
-    if (!this.certain()) return later('not certain to lead');
-    return this.standing(id) ?? noSuchJob;
+    if (!this.certain()) return reply(later('not certain to lead'));
+    if (this.log.touches(id)) return this.afterWrite(reply, () => this.show(id, reply));
+    reply(this.standing(id) ?? noSuchJob);
+  }
+
+  /**
+   * Guards forgotten and older answers: what is being written may have been read by others, and said to
+   * users, before its answer is here.
+   */
+  private afterWrite(reply: (r: Reply) => void, then: () => void): void {
+    void this.log.settled(SETTLE_MS).then((ok) => (ok ? then() : reply(later('a write is not answered'))));
   }
 
   private submit(spec: JobSpec, reply: (r: Reply) => void): void {
     const f = finalAnswer(this.state, spec.id);
     if (f) return reply(f);
     if (!this.certain()) return reply(later('not certain to lead'));
+    if (this.log.touches(spec.id) && !this.open.has(`s ${spec.id}`))
+      return this.afterWrite(reply, () => this.submit(spec, reply));
     const known = this.standing(spec.id);
     if (known) return reply(known);
     const no = refuse(spec, this.teams, this.state.types.values());
--- a/src/actors/controller.ts
+++ b/src/actors/controller.ts
@@ -2,14 +2,26 @@
 import type { Peers, PeerAnswer, PeerAsk, PeerStatus } from '../io/peers.js';
 import { sleep } from '../io/clock.js';
 import { LEADER, type LeaderValue } from '../wire/keys.js';
-import { finalAnswer, later, noSuchJob, standing, type Reply, type UserRequest } from './admission.js';
+import {
+  SETTLE_MS,
+  finalAnswer,
+  later,
+  noSuchJob,
+  standing,
+  type Reply,
+  type UserRequest,
+} from './admission.js';
 import { Follower } from './follower.js';
 import { LeaderActor, type LeaderPorts } from './leader.js';
 import { DRIFT, Lock } from './lock.js';
+import { Shared } from './shared.js';
 
 export const LOCK_MS = 2500;
 const DEAF_MS = 5500;
 const HOLD_OFF_MS = 8000;
+/** Questions to the leader of how far its log is keep this distance; so long its log may take to come here. */
+const POSITIONS_APART_MS = 50;
+const REACH_MS = 600;
 /** Workers end their tasks this soon after their lease. */
 const TASKS_END_MS = 1000;
 /** Longer than a dead leader's lock lasts. */
@@ -47,6 +59,7 @@
   ) {
     const { clock, store, logger, settings } = ports;
     this.remembers = clock.steady();
+    this.positions = new Shared(clock, POSITIONS_APART_MS, () => this.leaderPosition());
     this.lock = new Lock(store, clock, { node: settings.node, term: 0, run }, LOCK_MS, logger, (why) =>
       this.stepDown(why),
     );
@@ -277,6 +290,8 @@
     const f = finalAnswer(this.follower.state, ask.job);
     if (f) return f;
     const to = this.otherLeader();
+    const asLeader = ask.kind === 'show' && to ? await this.asLeader(ask.job) : null;
+    if (asLeader) return asLeader;
     const a =
       to && this.peers
         ? await this.peers.ask(to, {
@@ -287,7 +302,27 @@
         : null;
     if (a && a.status !== 503)
       return { status: a.status, body: JSON.parse(a.body) as object, retryAfter: a.retryAfter || undefined };
-    return (await this.fromLog(ask)) ?? later(to ? 'the leader does not answer' : 'no leader known');
+    const known = await this.fromLog(ask);
+    if (known) return known;
+    if (!a) return later(to ? 'the leader does not answer' : 'no leader known');
+    return { status: a.status, body: JSON.parse(a.body) as object, retryAfter: a.retryAfter || 1 };
+  }
+
+  /**
+   * What the leader would say of a job, from this node's log: it is asked how far its log is, once for all
+   * questions that wait, so that a flood of them costs it little. Null: it must be asked itself.
+   */
+  private async asLeader(job: JobId): Promise<Reply | null> {
+    const next = await this.positions.get();
+    if (next === null || !(await this.follower.reaches(next, REACH_MS))) return null;
+    return standing(this.follower.state, job, (j) => j.live.size) ?? noSuchJob;
+  }
+  private readonly positions: Shared<number | null>;
+
+  private async leaderPosition(): Promise<number | null> {
+    const to = this.otherLeader();
+    const a = to && this.peers ? await this.peers.ask(to, { kind: 'position', job: '' }) : null;
+    return a?.status === 200 ? (JSON.parse(a.body) as { next: number }).next : null;
   }
 
   /**
@@ -312,6 +347,11 @@
 
   /** A peer passes on what its user asked. */
   async asked(a: PeerAsk): Promise<PeerAnswer> {
+    if (a.kind === 'position') {
+      // Guards older answers: only a leader that holds its lock knows how far the log is.
+      const ok = (await this.leading?.log.settled(SETTLE_MS)) === true && this.lock.certain();
+      return { status: ok ? 200 : 503, body: JSON.stringify({ next: this.position }), retryAfter: 0 };
+    }
     const spec = a.spec ? (JSON.parse(a.spec) as JobSpec) : undefined;
     const r = (await this.here({ kind: a.kind, job: a.job as JobId, spec })) ?? later('not leading');
     return { status: r.status, body: JSON.stringify(r.body), retryAfter: r.retryAfter ?? 0 };
--- a/src/actors/follower.ts
+++ b/src/actors/follower.ts
@@ -14,6 +14,7 @@
   type LeaderValue,
 } from '../wire/keys.js';
 import type { Revision, Stamp, Store } from '../wire/store.js';
+import { Shared } from './shared.js';
 import { unpack } from './snapshot.js';
 
 /** The snapshot in force, and the version of the key that says so. */
@@ -48,7 +49,9 @@
       /** The lasting term, as the state service has it. */
       term: (t: Term) => void;
     },
-  ) {}
+  ) {
+    this.reads = new Shared(clock, READ_APART_MS, () => this.read());
+  }
 
   async run(): Promise<void> {
     while (!this.stopped) {
@@ -167,26 +170,22 @@
    * reaches no leader. Questions share reads, and reads keep a distance. False when it could not be done.
    */
   fresh(): Promise<boolean> {
-    if (!this.reading) return (this.reading = this.read());
-    // The read under way may have begun before this question.
-    this.nextRead ??= this.reading.then(() => {
-      this.nextRead = null;
-      return (this.reading = this.read());
-    });
-    return this.nextRead;
-  }
-  private reading: Promise<boolean> | null = null;
-  private nextRead: Promise<boolean> | null = null;
-  private readAt = -Infinity;
+    return this.reads.get();
+  }
+  private readonly reads: Shared<boolean>;
 
   private async read(): Promise<boolean> {
-    await sleep(this.clock, Math.max(0, this.readAt + READ_APART_MS - this.clock.steady()));
-    this.readAt = this.clock.steady();
     // Guards the state of a node that began to lead meanwhile: only its pen applies records then.
     const may = (): boolean => this.loaded && !this.paused;
-    const ok = may() && (await this.readOn(may));
-    this.reading = null;
-    return ok;
+    return may() && (await this.readOn(may));
+  }
+
+  /** Whether the log is here up to a record, or comes within a time. */
+  async reaches(next: number, mostMs: number): Promise<boolean> {
+    for (const end = this.clock.steady() + mostMs; this.state.next < next;)
+      if (!this.loaded || this.paused || this.clock.steady() > end) return false;
+      else await sleep(this.clock, 20);
+    return this.loaded && !this.paused;
   }
 
   /** Reads what was written after the last record known here, and applies it if it still may be. */
--- a/src/actors/log.ts
+++ b/src/actors/log.ts
@@ -1,6 +1,6 @@
 import { Subject } from 'rxjs';
 import type { State } from '../core/state.js';
-import type { Entry, LogRecord, RecordNo, Term } from '../core/types.js';
+import type { Entry, JobId, LogRecord, RecordNo, Term } from '../core/types.js';
 import { sleep, type Cancel, type Clock } from '../io/clock.js';
 import type { Logger } from '../io/logger.js';
 import { LEADER, recordKey } from '../wire/keys.js';
@@ -80,6 +80,37 @@
     return this.urgent.length;
   }
 
+  /** What is being written: it may be in the log already, and others may have read it there. */
+  private flight: Batch[] = [];
+  private readonly landed: (() => void)[] = [];
+
+  /** Whether what is being written may change what there is to say of a job. */
+  touches(id: JobId): boolean {
+    return this.flight.some((b) =>
+      b.record.entries.some((e) => {
+        if (e.e === 'job') return e.spec.id === id;
+        return e.e === 'withdraw' ? e.job === id : e.e === 'end' && e.p.some((p) => p[0] === id);
+      }),
+    );
+  }
+
+  /** Resolves when what is being written is settled, or a time is over; false then. */
+  settled(mostMs: number): Promise<boolean> {
+    if (this.flight.length === 0) return Promise.resolve(true);
+    return new Promise((resolve) => {
+      const cancel = this.clock.after(mostMs, () => resolve(false));
+      this.landed.push(() => {
+        cancel();
+        resolve(!this.stopped);
+      });
+    });
+  }
+
+  private land(): void {
+    this.flight = [];
+    for (const l of this.landed.splice(0)) l();
+  }
+
   /** How long the present write has gone unanswered. */
   get stuckMs(): number {
     return this.writing ? this.clock.steady() - this.writingSince : 0;
@@ -141,6 +172,7 @@
     this.writing = true;
     const batches = this.batches();
     const all = batches.flatMap((b) => b.items);
+    this.flight = batches;
     this.bucket.take(batches.length);
     const first = this.state.next;
     const puts = batches.map((b, i) => ({ put: recordKey(first + i), value: b.record }));
@@ -180,6 +212,7 @@
       this.committed.next({ no, record });
       this.log.debug({ no, entries: record.entries.map((e) => e.e) }, 'record written');
     }
+    this.land();
     this.writing = false;
     this.pump();
   }
@@ -191,6 +224,7 @@
   override stop(): void {
     super.stop();
     this.cancelWait?.();
+    this.land();
     const q = [...this.urgent, ...this.queue];
     this.urgent = [];
     this.queue = [];
--- a/src/io/metrics.ts
+++ b/src/io/metrics.ts
@@ -1,6 +1,9 @@
 import { build, type Histogram } from 'hdr-histogram-js';
 
-export type Measure = (what: 'round' | 'write' | 'fold' | 'take_over' | 'answer', ms: number) => void;
+export type Measure = (
+  what: 'round' | 'write' | 'fold' | 'take_over' | 'answer' | 'question',
+  ms: number,
+) => void;
 
 /** Times in milliseconds, kept as histograms. */
 export class Metrics {
--- a/src/io/peers.ts
+++ b/src/io/peers.ts
@@ -24,7 +24,8 @@
 }
 
 export interface PeerAsk {
-  kind: 'submit' | 'show' | 'withdraw';
+  /** position: how far the leader's log is. */
+  kind: 'submit' | 'show' | 'withdraw' | 'position';
   job: string;
   /** The job as this project knows it, in JSON; only for submissions. */
   spec?: string;
--- a/src/io/server.ts
+++ b/src/io/server.ts
@@ -7,7 +7,7 @@
 import type { JobId } from '../core/types.js';
 import { jobIdForm, readJob, readReport, writeElsewhere, writeOrders } from '../wire/schemas.js';
 
-const send = (res: Response, r: Reply): void => {
+const send = (res: http.ServerResponse, r: Reply): void => {
   if (r.retryAfter !== undefined) {
     res.setHeader('Retry-After', String(r.retryAfter));
     // A new connection lets the balancer choose a node that can.
@@ -40,6 +40,17 @@
   });
 }
 
+/** A user's question, on Node's own server: users ask many times as often as they submit. */
+function show(c: Controller, id: string, res: http.ServerResponse, measure: Measure): void {
+  if (!jobIdForm.test(id)) return send(res, noSuchJob);
+  const from = performance.now();
+  void c.user({ kind: 'show', job: id as JobId }).then((r) => {
+    measure('question', performance.now() - from);
+    send(res, r);
+  });
+}
+
+const JOBS = '/v1/jobs/';
 const BODY_MOST = 64 * 1024;
 
 function parse(parts: Buffer[]): unknown {
@@ -57,17 +68,19 @@
   app.disable('etag');
   const body = express.json({ limit: '64kb', type: () => true, strict: false });
 
-  app.get('/v1/jobs/:id', (req, res) => {
-    const id = req.params.id;
-    if (!jobIdForm.test(id)) return send(res, noSuchJob);
-    void c.user({ kind: 'show', job: id as JobId }).then((r) => send(res, r));
-  });
   app.get('/ready', (_req, res) => json(res, c.ready() ? 200 : 503, {}));
   app.post('/v1/jobs', body, (req, res) => {
     const j = readJob(req.body);
     if ('error' in j) {
       logger.info({ error: j.error, body: req.body as unknown }, 'malformed submission');
-      return json(res, 400, { error: j.error });
+      const id = (req.body as { name_id?: unknown } | null | undefined)?.name_id;
+      const refused = (): void => json(res, 400, { error: j.error });
+      if (typeof id !== 'string' || !jobIdForm.test(id)) return refused();
+      // Guards forgotten: an accepted job is answered for, whatever its repeat's body.
+      void c
+        .user({ kind: 'show', job: id as JobId })
+        .then((r) => (r.status === 200 ? send(res, r) : refused()));
+      return;
     }
     const from = performance.now();
     void c.user({ kind: 'submit', job: j.spec.id, spec: j.spec }).then((r) => {
@@ -92,6 +105,8 @@
   // Hundreds of reports a second would spend more in express than on what they say.
   const s = http.createServer({ keepAliveTimeout: 120_000, noDelay: true }, (req, res) => {
     if (req.url === '/hello' && req.method === 'POST') hello(c, req, res);
+    else if (req.method === 'GET' && req.url?.startsWith(JOBS))
+      show(c, req.url.slice(JOBS.length), res, measure);
     else app(req, res);
   });
   s.requestTimeout = 15_000;
--- a/test/fakes/state-service.ts
+++ b/test/fakes/state-service.ts
@@ -22,6 +22,8 @@
   refusedTo = new Set<string>();
   /** Transactions that get no answer, and after how many ms they are carried out; 0: at once, with an answer. */
   lateMs: (t: Txn) => number = () => 0;
+  /** Transactions that are carried out at once, and whose answers are lost. */
+  loses: (t: Txn) => boolean = () => false;
   /** Requests over the limits. */
   over = 0;
   private readonly leases = new Map<number, { ttl: number; until: number }>();
@@ -86,6 +88,10 @@
       return { status: 429, body: {} };
     }
     if (method === 'POST' && url.pathname === '/txn') {
+      if (this.loses(body as Txn)) {
+        this.txn(body as Txn);
+        return new Promise(() => {});
+      }
       const late = this.lateMs(body as Txn);
       if (late === 0) return this.txn(body as Txn);
       this.time.after(late, () => this.down || this.txn(body as Txn));
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -262,6 +262,23 @@
     await over(w, 300);
   });
 
+  it('a write whose answer is lost: what followers say of it, the leader does not take back', async () => {
+    const w = await begun(224);
+    w.state.loses = () => w.random() < 0.3;
+    for (let i = 0; i < 12; i++) {
+      const j = w.job({ shifts: 2, reckon_s: 3 + w.random() * 5 });
+      w.time.after(i * 2500, () => w.user(j, i % 4 === 0 ? 9000 : null));
+      for (let t = 0; t < 600; t++)
+        w.time.after(
+          i * 2500 + t * 100,
+          () => w.checker.standing(j.name_id) && void w.ask('show', j.name_id),
+        );
+    }
+    await w.time.run(90_000);
+    w.state.loses = () => false;
+    await over(w, 200);
+  });
+
   it('ten changes of the leader in two minutes, in an outage too, and handing over and back within a second', async () => {
     const w = await begun(221);
     const { doomed } = work(w);
--- a/test/wire.test.ts
+++ b/test/wire.test.ts
@@ -41,10 +41,36 @@
     for (const b of [...bad, JSON.stringify({ ...job, kit: 'x'.repeat(70_000) })])
       expect((await post(`${at}/v1/jobs`, b)).status).toBe(400);
     expect((await post(`${at}/v1/jobs`, JSON.stringify({ ...job, unheard: 1 }))).status).toBe(201);
+    // Every field but those that may be null.
+    for (const f of Object.keys(job).filter((k) => !['breeds', 'yard', 'due_s'].includes(k))) {
+      expect([f, (await post(`${at}/v1/jobs`, JSON.stringify({ ...job, [f]: undefined }))).status]).toEqual([
+        f,
+        400,
+      ]);
+      expect([f, (await post(`${at}/v1/jobs`, JSON.stringify({ ...job, [f]: null }))).status]).toEqual([
+        f,
+        400,
+      ]);
+    }
+    for (const f of ['breeds', 'yard', 'due_s'])
+      expect((await post(`${at}/v1/jobs`, JSON.stringify({ ...job, [f]: undefined }))).status).toBe(201);
     expect((await fetch(`${at}/v1/jobs/nonsense`)).status).toBe(404);
     expect((await fetch(`${at}/ready`)).status).toBe(200);
   });
 
+  it('answers for an accepted job, whatever the body of its repeat', async () => {
+    const at = await open((a) =>
+      Promise.resolve(
+        a.kind === 'show' && a.job === job.name_id
+          ? { status: 200, body: { standing: 'running' } }
+          : { status: a.kind === 'show' ? 404 : 201, body: {} },
+      ),
+    );
+    const broken = (name_id: string): string => JSON.stringify({ ...job, name_id, shifts: -1 });
+    expect((await post(`${at}/v1/jobs`, broken(job.name_id))).status).toBe(200);
+    expect((await post(`${at}/v1/jobs`, broken('wk-999'))).status).toBe(400);
+  });
+
   it('says when to come back, and lets the balancer choose anew', async () => {
     const at = await open(() => Promise.resolve(later('not now', 2)));
     const r = await post(`${at}/v1/jobs`, JSON.stringify(job));
