--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -21,7 +21,7 @@
 import type { Logger } from '../io/logger.js';
 import type { Cloud } from '../wire/cloud.js';
 import { HEAD, LEADER, chunkKey, recordKey, type HeadValue } from '../wire/keys.js';
-import type { Settings } from '../wire/settings.js';
+import { teamsOf, type Settings } from '../wire/settings.js';
 import type { Op, Stamp, Store } from '../wire/store.js';
 import { Actor } from './actor.js';
 import { AdmissionActor } from './admission.js';
@@ -115,13 +115,7 @@
       onHigher,
       logger,
     );
-    const teams = c.teams.map((t) => ({
-      name: t.name,
-      cpus: t.cpus,
-      cpusMax: t.cpus_max,
-      gpus: t.gpus,
-      gpusMax: t.gpus_max,
-    }));
+    const teams = teamsOf(settings);
     this.teams = teams;
     this.within = new Map(
       c.objectives.flatMap((o) =>
--- a/src/wire/settings.ts
+++ b/src/wire/settings.ts
@@ -1,4 +1,5 @@
 import * as z from 'zod';
+import type { Team } from '../core/types.js';
 
 const hostPort = z.string().regex(/^[^:\s]+:\d+$/, 'must be host:port');
 const positive = z.number().gt(0);
@@ -50,6 +51,18 @@
   }),
 });
 
+/** PROTOCOL's 0 of a limit: there is none. Of a guarantee it is 0. */
+const limit = (most: number): number => (most === 0 ? Infinity : most);
+
+export const teamsOf = (s: Settings): Team[] =>
+  s.cluster.teams.map((t) => ({
+    name: t.name,
+    cpus: t.cpus,
+    cpusMax: limit(t.cpus_max),
+    gpus: t.gpus,
+    gpusMax: limit(t.gpus_max),
+  }));
+
 export type Settings = z.infer<typeof settingsSchema>;
 
 export function readSettings(raw: unknown): Settings {
--- a/test/fakes/network.ts
+++ b/test/fakes/network.ts
@@ -64,6 +64,9 @@
   }
   private readonly muted = new Map<string, number>();
 
+  /** Requests that arrived at each address. */
+  readonly requests = new Map<string, number>();
+
   deafen(host: string, ms: number): void {
     this.deaf.set(host, this.time.now + ms);
   }
@@ -117,6 +120,7 @@
           }
           if (address.endsWith(':80') && (this.muted.get(from) ?? 0) > this.time.now) return;
           if (!this.hears(address)) return;
+          this.requests.set(address, (this.requests.get(address) ?? 0) + 1);
           this.copyLater(path, text);
           const h = this.hosts.get(address);
           if (!h) return void this.time.after(this.delay(), () => end(null));
