Boots that are all late are waited for, and what is late is replaced once

How long a boot is waited for now follows what boots of its type, zone and kind were worth in the last three minutes; while none came up, up to twelve times the nominal time, and what replaces the late ones counts as on its way for as long.

Shared runs end their turn though they throw.

--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -311,7 +311,6 @@
       overdue: (l) => this.overdue(l),
       within: (c) => this.soonest.get(c) ?? 0,
       leaseS: ports.settings.cluster.workers.lease_s,
-      bootMost: (t) => Math.max(60, (t?.boot ?? 30) * 3.5),
     };
     entries.push(...rent(capacity), ...giveBack(capacity));
     const upto = this.processedUpTo();
--- a/src/actors/shared.ts
+++ b/src/actors/shared.ts
@@ -27,8 +27,10 @@
   private async start(): Promise<T> {
     await sleep(this.clock, Math.max(0, this.at + this.apartMs - this.clock.steady()));
     this.at = this.clock.steady();
-    const v = await this.run();
-    this.now = null;
-    return v;
+    try {
+      return await this.run();
+    } finally {
+      this.now = null;
+    }
   }
 }
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -32,7 +32,6 @@
   overdue: (l: Live) => boolean;
   leaseS: number;
   policy: Policy;
-  bootMost: (t: MachineType | undefined) => number;
 }
 
 /** So many equal places for work: machines on their way, to be rented, or soon free at work. */
@@ -48,6 +47,53 @@
 
 const priceOf = (t: MachineType, spot: boolean): number => (spot ? t.spotPrice : t.price);
 
+/** So many times its type's own time a machine is waited for: before more is rented, before it is returned. */
+const BOOT_WAIT = 3;
+const BOOT_MOST = 3.5;
+/** While nothing of its kind has come up lately, machines at all may be what is late. */
+const BOOT_SLOW = 12;
+const LATELY_MS = 180_000;
+
+/** How long machines that boot are waited for, by what boots of their type, zone and kind were lately worth. */
+export class Boots {
+  private readonly kinds = new Map<string, { slowest: number; oldest: Wall }>();
+
+  constructor(
+    private readonly state: State,
+    private readonly now: Wall,
+  ) {
+    for (const m of state.machines.values()) {
+      const k = this.kinds.get(kindOf(m)) ?? { slowest: 0, oldest: now };
+      this.kinds.set(kindOf(m), k);
+      if (m.session === 0) k.oldest = Math.min(k.oldest, m.hiredAt) as Wall;
+      else if (now - m.upAt < LATELY_MS) k.slowest = Math.max(k.slowest, m.upAt - m.hiredAt);
+    }
+  }
+
+  private nominal(m: Machine): number {
+    return (this.state.types.get(m.type)?.boot ?? 30) * 1000;
+  }
+
+  /** Whether a machine counts as on its way for work that waits. */
+  awaited(m: Machine): boolean {
+    const { slowest, oldest } = this.kinds.get(kindOf(m))!;
+    const boot = this.nominal(m);
+    // Guards against renting in a loop: where nothing comes up, what is late is replaced once.
+    const second = slowest === 0 && this.now - oldest > boot * BOOT_WAIT && m.hiredAt - oldest > boot;
+    return this.now - m.hiredAt < Math.max(boot * (second ? BOOT_SLOW : BOOT_WAIT), slowest * 1.2);
+  }
+
+  /** Guards against returning all machines just before they come up: never, while every boot is late. */
+  neverUp(m: Machine): boolean {
+    const { slowest } = this.kinds.get(kindOf(m))!;
+    const boot = this.nominal(m);
+    const most = Math.max(60_000, slowest > 0 ? Math.max(boot * BOOT_MOST, slowest * 1.5) : boot * BOOT_SLOW);
+    return this.now - m.hiredAt > most;
+  }
+}
+
+const kindOf = (m: { type: string; zone: string; spot: boolean }): string => `${m.type}|${m.zone}|${m.spot}`;
+
 /** What to rent for the tasks that found no room, machines on their way counted first. */
 export function rent(input: CapacityInput): Entry[] {
   const { state, now, unplaced } = input;
@@ -74,10 +120,11 @@
   };
   /** CPUs that are rented in each zone. */
   const held = new Map<string, number>();
+  const boots = new Boots(state, now);
   for (const m of state.machines.values()) {
     const t = state.types.get(m.type);
     held.set(m.zone, (held.get(m.zone) ?? 0) + (t?.cpus ?? 0));
-    if (t && m.session === 0 && !m.drop && now - m.hiredAt < t.boot * 3000) group(t, m.zone, m.spot, false);
+    if (t && m.session === 0 && !m.drop && boots.awaited(m)) group(t, m.zone, m.spot, false);
   }
   for (const h of state.hires.values()) {
     const t = state.types.get(h.type);
@@ -212,11 +259,12 @@
     by.set(why, of);
     of.push(m.id);
   };
+  const boots = new Boots(state, now);
   for (const m of state.machines.values()) {
     if (m.drop) continue;
     const of = { zone: m.zone, spot: m.spot, type: state.types.get(m.type) };
     if (m.session === 0) {
-      if (now - m.hiredAt > input.bootMost(state.types.get(m.type)) * 1000) add('never up', m);
+      if (boots.neverUp(m)) add('never up', m);
       continue;
     }
     const silent = input.silent(m);
--- a/test/ops.test.ts
+++ b/test/ops.test.ts
@@ -55,6 +55,19 @@
   });
 });
 
+describe('machines that all come up late', () => {
+  // Returned at three and a half times their nominal time they never came up, and were rented anew for ever.
+  for (const times of [4, 6, 9])
+    it(`by ${times} times: they are waited for, and replaced once`, async () => {
+      const w = new World(311, [{ ...box, boot: 20 }]);
+      w.cloud.bootTimes = () => times;
+      await w.started();
+      w.user(w.job({ shifts: 16, cpus: 2, reckon_s: 20 }));
+      await over(w, 60 + times * 20);
+      expect(w.cloud.rentals).toBeLessThanOrEqual(8);
+    });
+});
+
 describe('controllers are silent for a minute and more', () => {
   for (const all of [false, true])
     it(`${all ? 'all of them' : 'the leader, and nobody knows it gone'}: work goes on, nothing is forgotten`, async () => {
