--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -298,6 +298,23 @@
     await over(w, 300);
   });
 
+  it('all controllers end in the middle of an election, and are back within a fraction of a second', async () => {
+    for (const after of [2300, 2450, 2550, 2700]) {
+      const w = await begun(225);
+      const { doomed } = work(w);
+      for (const j of doomed) w.user(j, 40_000);
+      await w.time.run(20_000);
+      const was = w.leader();
+      w.crash(was, 200);
+      await w.time.run(after);
+      for (const n of [0, 1, 2]) if (!w.nodes[n]!.clock.dead) w.crash(n, 150 + n * 100);
+      await w.time.run(6000);
+      expect(w.leader()).toBeGreaterThanOrEqual(0);
+      await answered(w);
+      await over(w, 300);
+    }
+  });
+
   it('all controllers are away for longer than a lease, and one returns', async () => {
     const w = await begun(222);
     const two = w.job({ shifts: 2, reckon_s: 12 });
