--- a/test/fakes/worker.ts
+++ b/test/fakes/worker.ts
@@ -35,7 +35,8 @@
 /** One machine's worker: tokens, sessions, lease, images, arrays and gangs. */
 export class FakeWorker {
   session = 1;
-  term = 0;
+  /** The highest seen. */
+  token = 0;
   tasks = new Map<string, WorkerTask>();
   alive = true;
   faulty = false;
@@ -127,7 +128,7 @@
       loaners: this.place.spot,
       stint: this.session,
       tally: ++this.seq,
-      warrant: this.term,
+      warrant: this.token,
       recall_s: this.notice,
       shifts: [...this.tasks.values()].map((t) => ({
         shift: `${t.job.name_id}/${t.task}`,
@@ -153,8 +154,8 @@
     let next = settings.report_s * 1000 * (0.75 + random() * 0.5);
     if (a?.status === 200) {
       const b = a.body as { warrant?: number; orders?: Order[] };
-      if (b.warrant !== undefined && b.warrant >= this.term && session === this.session) {
-        this.term = b.warrant;
+      if (b.warrant !== undefined && b.warrant >= this.token && session === this.session) {
+        this.token = b.warrant;
         this.lastAnswered = sent;
         this.execute(b.orders ?? []);
       }
@@ -178,8 +179,8 @@
     if (path === '/show') return { status: 200, body: this.body() };
     const b = body as { warrant?: number; stint?: number; orders?: Order[] };
     if (b.warrant === undefined || b.stint === undefined) return { status: 400, body: {} };
-    if (b.warrant < this.term || b.stint !== this.session) return { status: 409, body: this.body() };
-    this.term = b.warrant;
+    if (b.warrant < this.token || b.stint !== this.session) return { status: 409, body: this.body() };
+    this.token = b.warrant;
     this.execute(b.orders ?? []);
     return { status: 200, body: this.body() };
   }
