--- a/test/workers.test.ts
+++ b/test/workers.test.ts
@@ -2,7 +2,7 @@
 import { WorkersActor } from '../src/actors/workers.js';
 import { State } from '../src/core/state.js';
 import type { Entry, MachineId, Term, WorkerReport } from '../src/core/types.js';
-import type { HttpAnswer } from '../src/io/http-client.js';
+import type { HttpAnswer, HttpCall } from '../src/io/http-client.js';
 import { readReport } from '../src/wire/schemas.js';
 import { NodeClock, VirtualTime } from './fakes/clock.js';
 import { box, silent, write } from './fakes/world.js';
@@ -10,6 +10,28 @@
 const MACHINES = 1260;
 const MOST = 150;
 
+/** The ear and mouth of a leader that holds its lock. */
+const leading = (
+  state: State,
+  time: VirtualTime,
+  call: HttpCall,
+  log: (entries: Entry[]) => void = () => {},
+): WorkersActor =>
+  new WorkersActor(
+    state,
+    { tell: (a: { entries: Entry[] }) => log(a.entries) } as never,
+    call,
+    new NodeClock(time, 1, 0),
+    1 as Term,
+    3,
+    MOST,
+    () => true,
+    () => true,
+    () => {},
+    () => {},
+    silent,
+  );
+
 /** A leader's ear and mouth on a large site, with one task started on each machine. */
 function site() {
   const time = new VirtualTime();
@@ -29,20 +51,7 @@
       }),
     );
   };
-  const workers = new WorkersActor(
-    state,
-    { tell: () => {} } as never,
-    call,
-    new NodeClock(time, 1, 0),
-    1 as Term,
-    3,
-    MOST,
-    () => true,
-    () => true,
-    () => {},
-    () => {},
-    silent,
-  );
+  const workers = leading(state, time, call);
   const report = (m: MachineId, seq: number): WorkerReport =>
     ({
       machine: m,
@@ -90,24 +99,12 @@
     const sent: { warrant: number; stint: number; orders: { verb: string }[] }[] = [];
     const told: Entry[] = [];
     const answer: { body: object | null } = { body: null };
-    const workers = new WorkersActor(
-      state,
-      { tell: (a: { entries: Entry[] }) => told.push(...a.entries) } as never,
-      (_a, _m, _p, body) => {
-        sent.push(body as never);
-        const a = answer.body ? { status: 200, body: answer.body } : null;
-        return new Promise((ok) => time.after(50, () => ok(a)));
-      },
-      new NodeClock(time, 1, 0),
-      1 as Term,
-      3,
-      MOST,
-      () => true,
-      () => true,
-      () => {},
-      () => {},
-      silent,
-    );
+    const call: HttpCall = (_a, _m, _p, body) => {
+      sent.push(body as never);
+      const a = answer.body ? { status: 200, body: answer.body } : null;
+      return new Promise((ok) => time.after(50, () => ok(a)));
+    };
+    const workers = leading(state, time, call, (e) => told.push(...e));
     let seq = 1;
     const wire = (warrant: number, stint = 1): object => ({
       ...{ mount: m, addr: 'vm-1:1', breed: 'box', yard: 'a', loaners: false, stint },
