Reports and calls are read straight off sockets; unchanged reports are not parsed

Change: HTTP/1.1 messages are read and written on net sockets in one piece for reports and for all calls; a report that differs from the connection's last one in its number only is not parsed. Anything else goes to Node's server as before. The stories' workers speak through the same reader.

--- a/src/io/http-client.ts
+++ b/src/io/http-client.ts
@@ -1,6 +1,7 @@
-import http from 'node:http';
-import type net from 'node:net';
+/** HTTP requests to workers, the state service and the cloud, over connections that are kept and reused. */
+import net from 'node:net';
 import { hostPort } from './address.js';
+import { ResponseReader, writeRequest } from './http-message.js';
 
 export interface HttpAnswer {
   status: number;
@@ -17,74 +18,136 @@
 ) => Promise<HttpAnswer | null>;
 
 /** How long a connection is kept with nothing to do. */
-const FREE_MS = 8000;
+const IDLE_MS = 8000;
+const MAX_IDLE_PER_ADDRESS = 4;
 
-/** Keeps connections for later only while the node has sockets to spare. */
-class SparingAgent extends http.Agent {
-  private readonly mine = new Set<net.Socket>();
+/** Whether another connection may be kept, when so many are open. */
+type MayKeep = (open: number) => boolean;
+type Settle = (answer: HttpAnswer | null) => void;
 
-  constructor(private readonly spare: (mine: number) => boolean) {
-    super({ keepAlive: true, maxFreeSockets: 4, scheduling: 'lifo', timeout: FREE_MS });
+function parseAnswer(status: number, text: string): HttpAnswer {
+  try {
+    return { status, body: text ? (JSON.parse(text) as unknown) : undefined };
+  } catch {
+    return { status, body: undefined };
+  }
+}
+
+/** One connection: carries one request at a time. */
+class ClientConnection {
+  private readonly socket: net.Socket;
+  private reader: ResponseReader | null = null;
+  private settle: Settle | null = null;
+
+  constructor(
+    address: string,
+    /** Told once the connection is usable for another request, or is gone for good. */
+    private readonly onIdle: (connection: ClientConnection) => void,
+    private readonly onClosed: (connection: ClientConnection) => void,
+  ) {
+    this.socket = net.connect({ ...hostPort(address), noDelay: true });
+    this.socket.on('data', (bytes: Buffer) => this.receive(bytes));
+    this.socket.on('end', () => this.finish(this.reader?.end() ?? null));
+    this.socket.on('error', () => this.destroy());
+    this.socket.on('timeout', () => this.destroy());
+    this.socket.on('close', () => {
+      this.answer(null);
+      this.onClosed(this);
+    });
+  }
+
+  send(text: string, settle: Settle): void {
+    this.reader = new ResponseReader();
+    this.settle = settle;
+    this.socket.write(text);
   }
 
-  override keepSocketAlive(socket: net.Socket): boolean {
-    if (!this.mine.has(socket)) {
-      this.mine.add(socket);
-      socket.once('close', () => this.mine.delete(socket));
+  /** Nothing is under way: the connection closes by itself after a while. */
+  idle(): void {
+    this.socket.setTimeout(IDLE_MS);
+  }
+
+  busy(): void {
+    this.socket.setTimeout(0);
+  }
+
+  destroy(): void {
+    this.socket.destroy();
+  }
+
+  private receive(bytes: Buffer): void {
+    if (!this.reader) return this.destroy();
+    try {
+      const response = this.reader.read(bytes);
+      if (response) this.finish(response);
+    } catch {
+      this.destroy();
     }
-    if (!this.spare(this.mine.size)) return false;
-    super.keepSocketAlive(socket);
-    return true;
+  }
+
+  private finish(response: { status: number; body: string; close: boolean } | null): void {
+    if (!response || response.close) this.destroy();
+    if (!response) return;
+    this.answer(parseAnswer(response.status, response.body));
+    if (!response.close) this.onIdle(this);
+  }
+
+  private answer(answer: HttpAnswer | null): void {
+    const { settle } = this;
+    this.reader = null;
+    this.settle = null;
+    settle?.(answer);
+  }
+}
+
+/** Connections by address; idle ones are reused, the latest first, and kept only while sockets are to spare. */
+class ConnectionPool {
+  private readonly idle = new Map<string, ClientConnection[]>();
+  private open = 0;
+
+  constructor(private readonly mayKeep: MayKeep) {}
+
+  take(address: string): ClientConnection {
+    const kept = this.idle.get(address)?.pop();
+    if (kept) {
+      kept.busy();
+      return kept;
+    }
+    this.open++;
+    return new ClientConnection(
+      address,
+      (connection) => this.keep(address, connection),
+      (connection) => this.forget(address, connection),
+    );
+  }
+
+  private keep(address: string, connection: ClientConnection): void {
+    const kept = this.idle.get(address) ?? [];
+    if (kept.length >= MAX_IDLE_PER_ADDRESS || !this.mayKeep(this.open)) return connection.destroy();
+    this.idle.set(address, kept);
+    kept.push(connection);
+    connection.idle();
+  }
+
+  private forget(address: string, connection: ClientConnection): void {
+    this.open--;
+    const kept = this.idle.get(address)?.filter((other) => other !== connection);
+    if (kept && kept.length > 0) this.idle.set(address, kept);
+    else this.idle.delete(address);
   }
 }
 
-/** spare: whether another connection may be kept, when so many are kept or were. */
-export function httpCaller(spare: (mine: number) => boolean = () => true): HttpCall {
-  // A socket to each of a thousand workers, beside the one that it reports on, would be over the limit.
-  const agent = new SparingAgent(spare);
+export function httpCaller(mayKeep: MayKeep = () => true): HttpCall {
+  const pool = new ConnectionPool(mayKeep);
   return (address, method, path, body, timeoutMs) =>
     new Promise((resolve) => {
       const text = body === undefined ? undefined : JSON.stringify(body);
-      let settled = false;
-      const settle = (a: HttpAnswer | null): void => {
-        if (settled) return;
-        settled = true;
-        clearTimeout(timer);
-        resolve(a);
-      };
-      const req = http.request(
-        {
-          agent,
-          ...hostPort(address),
-          method,
-          path,
-          headers:
-            text === undefined
-              ? {}
-              : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) },
-        },
-        (res) => {
-          const parts: Buffer[] = [];
-          res.on('data', (d: Buffer) => parts.push(d));
-          res.on('error', () => settle(null));
-          res.on('aborted', () => settle(null));
-          res.on('end', () => {
-            const raw = Buffer.concat(parts).toString();
-            try {
-              settle({ status: res.statusCode ?? 0, body: raw ? JSON.parse(raw) : undefined });
-            } catch {
-              settle({ status: res.statusCode ?? 0, body: undefined });
-            }
-          });
-        },
-      );
+      const connection = pool.take(address);
       // No connection is kept on trust: one that did not answer in time is not used again.
-      const timer = setTimeout(() => {
-        settle(null);
-        req.destroy();
-      }, timeoutMs);
-      req.on('error', () => settle(null));
-      req.setNoDelay(true);
-      req.end(text);
+      const timer = setTimeout(() => connection.destroy(), timeoutMs);
+      connection.send(writeRequest(method, address, path, text), (answer) => {
+        clearTimeout(timer);
+        resolve(answer);
+      });
     });
 }
--- a/src/io/server.ts
+++ b/src/io/server.ts
@@ -1,11 +1,14 @@
 import express, { type NextFunction, type Request, type Response } from 'express';
 import http from 'node:http';
+import net from 'node:net';
 import type { Controller } from '../actors/controller.js';
 import { noSuchJob, type Reply } from '../actors/admission.js';
 import type { Measure } from './metrics.js';
 import type { Logger } from './logger.js';
 import type { JobId } from '../core/types.js';
-import { jobIdForm, readJob, readReport, writeElsewhere, writeOrders } from '../wire/schemas.js';
+import { ReportReader, writeOrdersText } from '../wire/reports.js';
+import { jobIdForm, readJob, writeElsewhere } from '../wire/schemas.js';
+import { WorkerConnection, type AnswerReport, type ReportAnswer } from './worker-connection.js';
 
 const send = (res: http.ServerResponse, r: Reply): void => {
   if (r.retryAfter !== undefined) {
@@ -22,8 +25,25 @@
   res.end(text);
 };
 
-/** A worker's report, on Node's own server. */
-function hello(c: Controller, req: http.IncomingMessage, res: http.ServerResponse): void {
+/** Answers the reports that arrive on one connection. */
+function answerReports(controller: Controller): AnswerReport {
+  const reader = new ReportReader();
+  return (text, reply) => {
+    const report = text === null ? null : reader.read(text);
+    if (!report) return reply(MALFORMED_REPORT);
+    controller.hello(report, (h) =>
+      reply(
+        h.answer === 'stay'
+          ? { status: 200, body: writeOrdersText(h.term, h.fence, h.orders) }
+          : { status: 421, body: JSON.stringify(writeElsewhere(h.leader)) },
+      ),
+    );
+  };
+}
+const MALFORMED_REPORT: ReportAnswer = { status: 400, body: '{"error":"malformed report"}' };
+
+/** A report in a form that its connection's own reading leaves to Node's server. */
+function hello(controller: Controller, req: http.IncomingMessage, res: http.ServerResponse): void {
   const parts: Buffer[] = [];
   let size = 0;
   req.on('data', (d: Buffer) => {
@@ -31,11 +51,10 @@
     if (size <= BODY_MOST) parts.push(d);
   });
   req.on('end', () => {
-    const r = size > BODY_MOST ? null : readReport(parse(parts));
-    if (!r) return json(res, 400, { error: 'malformed report' });
-    c.hello(r, (h) => {
-      if (h.answer === 'stay') json(res, 200, writeOrders(h.term, h.fence, h.orders));
-      else json(res, 421, writeElsewhere(h.leader));
+    const text = size > BODY_MOST ? null : Buffer.concat(parts).toString();
+    answerReports(controller)(text, (a) => {
+      res.writeHead(a.status, { 'Content-Type': 'application/json' });
+      res.end(a.body);
     });
   });
 }
@@ -53,22 +72,13 @@
 const JOBS = '/v1/jobs/';
 const BODY_MOST = 64 * 1024;
 
-function parse(parts: Buffer[]): unknown {
-  try {
-    return JSON.parse((parts.length === 1 ? parts[0]! : Buffer.concat(parts)).toString());
-  } catch {
-    return undefined;
-  }
-}
-
 /** The HTTP interface for users, workers and health checks. */
-export function server(c: Controller, metrics: () => object, logger: Logger, measure: Measure): http.Server {
+export function server(c: Controller, metrics: () => object, logger: Logger, measure: Measure): net.Server {
   const app = express();
   app.disable('x-powered-by');
   app.disable('etag');
   const body = express.json({ limit: '64kb', type: () => true, strict: false });
 
-  app.get('/ready', (_req, res) => json(res, c.ready() ? 200 : 503, {}));
   app.post('/v1/jobs', body, (req, res) => {
     const j = readJob(req.body);
     if ('error' in j) {
@@ -102,13 +112,18 @@
     json(res, 400, { error: e.message ?? 'malformed' });
   });
 
-  // Hundreds of reports a second would spend more in express than on what they say.
-  const s = http.createServer({ keepAliveTimeout: 120_000, noDelay: true }, (req, res) => {
+  const requests = http.createServer({ keepAliveTimeout: 120_000, noDelay: true }, (req, res) => {
     if (req.url === '/hello' && req.method === 'POST') hello(c, req, res);
+    else if (req.url === '/ready' && req.method === 'GET') json(res, c.ready() ? 200 : 503, {});
     else if (req.method === 'GET' && req.url?.startsWith(JOBS))
       show(c, req.url.slice(JOBS.length), res, measure);
     else app(req, res);
   });
-  s.requestTimeout = 15_000;
-  return s;
+  requests.requestTimeout = 15_000;
+  return net.createServer({ noDelay: true }, (socket) => {
+    new WorkerConnection(socket, answerReports(c), (handed, unread) => {
+      requests.emit('connection', handed);
+      if (unread.length > 0) handed.unshift(unread);
+    });
+  });
 }
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -8,7 +8,8 @@
 import type { Logger } from '../../src/io/logger.js';
 import type { PeerAnswer, PeerAsk, Peers, PeerStatus } from '../../src/io/peers.js';
 import { Cloud } from '../../src/wire/cloud.js';
-import { readJob, readReport, writeElsewhere, writeOrders } from '../../src/wire/schemas.js';
+import { ReportReader } from '../../src/wire/reports.js';
+import { readJob, writeElsewhere, writeOrders } from '../../src/wire/schemas.js';
 import { readSettings, teamsOf, type Settings } from '../../src/wire/settings.js';
 import { Store } from '../../src/wire/store.js';
 import { Checker, type JobOnWire } from './checker.js';
@@ -178,9 +179,14 @@
       run,
     );
     here.controller = controller;
+    // A connection of its own for each worker, as on the wire.
+    const readers = new Map<string, ReportReader>();
     this.network.listen(`${name}:80`, (_m, path, body) => {
       if (path !== '/hello') return { status: 404, body: {} };
-      const r = readReport(body)!;
+      const machine = (body as { mount: string }).mount;
+      const reader = readers.get(machine) ?? new ReportReader();
+      readers.set(machine, reader);
+      const r = reader.read(JSON.stringify(body))!;
       return new Promise((ok) =>
         controller.hello(r, (h) =>
           ok(
--- /dev/null
+++ b/tools/profile/main.ts
@@ -0,0 +1,194 @@
+/**
+ * `npm run profile -- --machines 360 --report-s 3 --seconds 30`: three real controllers among stand-ins on
+ * loopback, filled with work; then the leader's processor time by part, and its memory. Figures of one
+ * machine at one moment: compare two versions alternately in one run of the shell, several times.
+ */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { parseArgs } from 'node:util';
+import { httpCaller } from '../../src/io/http-client.js';
+import type { JobOnWire } from '../../test/fakes/checker.js';
+import { timeByFunction, timeByPart, type PartTime, type SampledProfile } from './parts.js';
+import { StandIns, nodeAddress, settingsOf, type DeploymentSize } from './stand-ins.js';
+
+const NODES = [0, 1, 2];
+const FLAGS = ['--max-old-space-size=96', '--max-semi-space-size=4'];
+const ARRAY_TASKS = 350;
+const CPUS_PER_MACHINE = 16;
+const QUESTION_EVERY_MS = 5000;
+const FUNCTIONS_SHOWN = 25;
+
+interface Usage {
+  processorMicroseconds: { user: number; system: number };
+  memory: Record<string, number>;
+  collections: Record<'young' | 'old', { count: number; ms: number }>;
+  atMs: number;
+}
+interface Sampling {
+  started: Usage;
+  ended: Usage;
+  profile: SampledProfile;
+}
+
+const sleep = (ms: number): Promise<void> => new Promise((done) => setTimeout(done, ms));
+const call = httpCaller();
+
+const { values: options } = parseArgs({
+  options: {
+    machines: { type: 'string', default: '360' },
+    'report-s': { type: 'string', default: '3' },
+    seconds: { type: 'string', default: '30' },
+    program: { type: 'string', default: 'target/main.js' },
+    'task-s': { type: 'string', default: '100' },
+    functions: { type: 'boolean', default: false },
+  },
+});
+const size: DeploymentSize = {
+  machines: Number(options.machines),
+  reportSeconds: Number(options['report-s']),
+};
+
+function startNode(directory: string, index: number): ChildProcess {
+  const config = join(directory, `node-${index}.json`);
+  writeFileSync(config, JSON.stringify(settingsOf(index, size)));
+  const probe = join('tools', 'profile', 'probe.mjs');
+  return spawn(process.execPath, [...FLAGS, '--import', `./${probe}`, options.program, '--config', config], {
+    stdio: ['ignore', 'ignore', 'inherit'],
+    env: { ...process.env, LOG_LEVEL: 'error', PROFILE_OUT: join(directory, `profile-${index}.json`) },
+  });
+}
+
+const metricsOf = async (index: number): Promise<Record<string, unknown>> =>
+  ((await call(nodeAddress(index), 'GET', '/metrics', undefined, 2000))?.body ?? {}) as Record<
+    string,
+    unknown
+  >;
+
+async function leader(): Promise<number> {
+  for (;;) {
+    for (const index of NODES) if ((await metricsOf(index)).leading === true) return index;
+    await sleep(200);
+  }
+}
+
+const job = (number: number): JobOnWire => ({
+  name_id: `wk-${String(number).padStart(6, '0')}`,
+  duty: 'any',
+  desk: 'red',
+  shape: 'array',
+  urgency: 'standard',
+  shifts: ARRAY_TASKS,
+  cpus: 1,
+  accelerators: 0,
+  mem_gb: 4.6,
+  kit: `image-${number % 8}`,
+  image_gb: 0.5,
+  breeds: null,
+  yard: null,
+  together: false,
+  spread: false,
+  loaners: false,
+  reckon_s: Number(options['task-s']),
+  waymark_s: 0,
+  stow_s: 0,
+  due_s: null,
+});
+
+/** Submits arrays so that the machines stay full, and asks about each every five seconds. */
+async function users(standIns: StandIns, running: () => boolean): Promise<void> {
+  let number = 0;
+  let submittedTasks = 0;
+  const isDone = new Set<string>();
+  const ask = async (id: string): Promise<void> => {
+    while (running()) {
+      await sleep(QUESTION_EVERY_MS);
+      const node = Math.floor(Math.random() * NODES.length);
+      const answer = await call(nodeAddress(node), 'GET', `/v1/jobs/${id}`, undefined, 2000);
+      if ((answer?.body as { standing?: string } | undefined)?.standing === 'done')
+        return void isDone.add(id);
+    }
+  };
+  while (running()) {
+    const open = submittedTasks - isDone.size * ARRAY_TASKS;
+    if (open < size.machines * CPUS_PER_MACHINE * 1.2) {
+      const next = job(++number);
+      standIns.checker.submitted(next);
+      const answer = await call(nodeAddress(number % NODES.length), 'POST', '/v1/jobs', next, 5000);
+      if (answer?.status === 201) {
+        submittedTasks += ARRAY_TASKS;
+        void ask(next.name_id);
+      }
+    }
+    await sleep(100);
+  }
+}
+
+const table = (title: string, rows: readonly PartTime[], seconds: number): void => {
+  process.stdout.write(`\n${title}\n`);
+  for (const { part, milliseconds } of rows)
+    if (part !== 'idle')
+      process.stdout.write(`  ${(milliseconds / seconds).toFixed(2).padStart(8)} ms/s  ${part}\n`);
+};
+
+function report(title: string, sampling: Sampling): void {
+  const { started, ended, profile } = sampling;
+  const seconds = (ended.atMs - started.atMs) / 1000;
+  const used = (of: 'user' | 'system'): number =>
+    (ended.processorMicroseconds[of] - started.processorMicroseconds[of]) / 1000 / seconds;
+  const megabytes = Object.entries(ended.memory).map(
+    ([name, bytes]) => `${name} ${(bytes / 2 ** 20).toFixed(1)}`,
+  );
+  process.stdout.write(
+    `\n== ${title}: user ${used('user').toFixed(1)} ms/s, system ${used('system').toFixed(1)} ms/s\n`,
+  );
+  process.stdout.write(`memory (MB): ${megabytes.join(', ')}\n`);
+  for (const kind of ['young', 'old'] as const) {
+    const count = ended.collections[kind].count - started.collections[kind].count;
+    const ms = ended.collections[kind].ms - started.collections[kind].ms;
+    process.stdout.write(`${kind} collections: ${count}, ${(ms / seconds).toFixed(2)} ms/s\n`);
+  }
+  table('by part', timeByPart(profile), seconds);
+  if (options.functions) table('by function', timeByFunction(profile).slice(0, FUNCTIONS_SHOWN), seconds);
+}
+
+async function measure(directory: string): Promise<void> {
+  const standIns = new StandIns(size);
+  const nodes = NODES.map((index) => startNode(directory, index));
+  let running = true;
+  try {
+    const leading = await leader();
+    void users(standIns, () => running);
+    const full = size.machines * CPUS_PER_MACHINE * 0.8;
+    while (standIns.cpusHeld() < full) await sleep(500);
+    await sleep(5000);
+    for (const node of nodes) node.kill('SIGUSR2');
+    await sleep(Number(options.seconds) * 1000);
+    for (const node of nodes) node.kill('SIGUSR2');
+    await sleep(2000);
+    process.stdout.write(
+      `${standIns.workers.size} workers, ${standIns.cpusHeld()} CPUs held, leader ${leading}\n`,
+    );
+    for (const index of [leading, (leading + 1) % NODES.length]) {
+      const sampling = JSON.parse(readFileSync(join(directory, `profile-${index}.json`), 'utf8')) as Sampling;
+      report(index === leading ? 'leader' : 'follower', sampling);
+    }
+    const metrics = await metricsOf(leading);
+    process.stdout.write(`\nleader's /metrics: ${JSON.stringify(metrics)}\n`);
+    for (const broken of standIns.checker.broken.slice(0, 10))
+      process.stdout.write(`broken rule: ${broken}\n`);
+  } finally {
+    running = false;
+    for (const node of nodes) node.kill('SIGKILL');
+    standIns.stop();
+  }
+}
+
+const directory = mkdtempSync(join(tmpdir(), 'quillhead-profile-'));
+try {
+  await measure(directory);
+} finally {
+  rmSync(directory, { recursive: true });
+}
+process.exit(0);
--- /dev/null
+++ b/tools/profile/parts.ts
@@ -0,0 +1,111 @@
+/** Sums the samples of a V8 processor profile by part of the service. */
+
+interface ProfileNode {
+  id: number;
+  callFrame: { functionName: string; url: string };
+  children?: number[];
+}
+
+/** What `Profiler.stop` returns, as far as it is used here. */
+export interface SampledProfile {
+  nodes: ProfileNode[];
+  samples: number[];
+  timeDeltas: number[];
+}
+
+export interface PartTime {
+  part: string;
+  milliseconds: number;
+}
+
+/** A frame with one of these names belongs to the part; the outermost such frame of a stack decides. */
+const PART_OF_FUNCTION: Record<string, string> = {
+  round: 'rounds',
+  fold: 'snapshots',
+  lines: 'snapshots',
+  pack: 'snapshots',
+  write: 'log writes',
+  pump: 'log writes',
+  txn: 'log writes',
+  load: 'replay',
+  catchUp: 'replay',
+  watch: 'following the log',
+  run: 'following the log',
+  renewLoop: 'lock renewal',
+  renew: 'lock renewal',
+  callWorker: 'direct commands',
+  direct: 'direct commands',
+  hello: 'worker reports',
+  readReport: 'worker reports',
+  show: 'status queries',
+  page: 'cloud',
+  hire: 'cloud',
+  dial: 'peer links',
+};
+
+const OUTSIDE: Record<string, string> = {
+  '(garbage collector)': 'garbage collection',
+  '(idle)': 'idle',
+  '(program)': 'native code and system calls',
+};
+
+function partOf(stack: readonly ProfileNode[]): string {
+  const leaf = stack[stack.length - 1];
+  const outside = leaf && OUTSIDE[leaf.callFrame.functionName];
+  if (outside) return outside;
+  for (const node of stack) {
+    const part = PART_OF_FUNCTION[node.callFrame.functionName];
+    if (part && node.callFrame.url.endsWith('app.js')) return part;
+  }
+  const names = new Set(stack.map((node) => node.callFrame.functionName));
+  if (names.has('parserOnIncoming') || names.has('onParserExecute')) return 'HTTP server: requests';
+  if (names.has('onconnection') || names.has('connectionListener')) return 'HTTP server: connections';
+  if (names.has('parserOnMessageComplete') || names.has('socketOnData')) return 'HTTP messages';
+  if (names.has('processTimers') || names.has('listOnTimeout')) return 'timers';
+  if (names.has('onStreamRead')) return 'socket reads';
+  if (names.has('processTicksAndRejections')) return 'promises and ticks';
+  return 'other';
+}
+
+/** The stack of each node of the profile's tree, outermost frame first. */
+function stacksOf(profile: SampledProfile): Map<number, ProfileNode[]> {
+  const byId = new Map(profile.nodes.map((node) => [node.id, node]));
+  const stacks = new Map<number, ProfileNode[]>();
+  const visit = (node: ProfileNode, above: ProfileNode[]): void => {
+    const stack = [...above, node];
+    stacks.set(node.id, stack);
+    for (const child of node.children ?? []) visit(byId.get(child)!, stack);
+  };
+  const root = profile.nodes[0];
+  if (root) visit(root, []);
+  return stacks;
+}
+
+function sorted(totals: ReadonlyMap<string, number>): PartTime[] {
+  return [...totals]
+    .map(([part, microseconds]) => ({ part, milliseconds: microseconds / 1000 }))
+    .sort((a, b) => b.milliseconds - a.milliseconds);
+}
+
+/** Sampled time by part of the service, the largest first. */
+export function timeByPart(profile: SampledProfile): PartTime[] {
+  const stacks = stacksOf(profile);
+  const totals = new Map<string, number>();
+  profile.samples.forEach((id, i) => {
+    const part = partOf(stacks.get(id) ?? []);
+    totals.set(part, (totals.get(part) ?? 0) + (profile.timeDeltas[i] ?? 0));
+  });
+  return sorted(totals);
+}
+
+/** Sampled time by the function that was running itself, the largest first. */
+export function timeByFunction(profile: SampledProfile): PartTime[] {
+  const byId = new Map(profile.nodes.map((node) => [node.id, node]));
+  const totals = new Map<string, number>();
+  profile.samples.forEach((id, i) => {
+    const frame = byId.get(id)?.callFrame;
+    const name = `${frame?.functionName || '(anonymous)'} ${frame?.url.split('/').pop() ?? ''}`;
+    totals.set(name, (totals.get(name) ?? 0) + (profile.timeDeltas[i] ?? 0));
+  });
+  return sorted(totals);
+}
--- /dev/null
+++ b/tools/profile/stand-ins.ts
@@ -0,0 +1,178 @@
+/**
+ * The fakes of the tests behind real sockets on loopback: state service, cloud and workers of a whole
+ * deployment in real time, for programs that are measured as they are.
+ */
+import http from 'node:http';
+import { httpCaller, type HttpAnswer } from '../../src/io/http-client.js';
+import type { MachineType } from '../../src/core/types.js';
+import { readSettings, teamsOf, type Settings } from '../../src/wire/settings.js';
+import { Checker } from '../../test/fakes/checker.js';
+import { VirtualTime } from '../../test/fakes/clock.js';
+import { FakeCloud } from '../../test/fakes/cloud.js';
+import { FakeStateService } from '../../test/fakes/state-service.js';
+import { FakeWorker } from '../../test/fakes/worker.js';
+
+const STATE_ADDRESS = '127.0.0.2:2379';
+const CLOUD_ADDRESS = '127.0.0.3:8443';
+const WORKER_PORT = 9000;
+const STEP_MS = 5;
+const NODE_COUNT = 3;
+
+export interface DeploymentSize {
+  machines: number;
+  reportSeconds: number;
+}
+
+const machineType: MachineType = {
+  name: 'box',
+  cpus: 16,
+  gpus: 0,
+  mem: 128,
+  cacheGb: 35,
+  fetch: 0.5,
+  price: 0.76,
+  spotPrice: 0.2,
+  boot: 3,
+  zones: ['a'],
+};
+
+export const nodeAddress = (index: number): string => `127.0.1.${index + 1}:8080`;
+
+/** The settings file of one node. */
+export function settingsOf(index: number, size: DeploymentSize): object {
+  const others = Array.from({ length: NODE_COUNT }, (_, i) => i).filter((i) => i !== index);
+  const cpus = size.machines * machineType.cpus;
+  return {
+    node: `node-${index}`,
+    area: 'a',
+    serve_on: nodeAddress(index),
+    back: `127.0.1.${index + 1}:8081`,
+    seeds: others.map((i) => ({ node: `node-${i}`, area: 'a', peer_addr: `127.0.1.${i + 1}:8081` })),
+    external: { cloud: CLOUD_ADDRESS, state: STATE_ADDRESS },
+    cluster: {
+      zones: ['a'],
+      teams: [
+        { name: 'red', cpus: cpus / 2, cpus_max: cpus },
+        { name: 'blue', cpus: cpus / 4, cpus_max: cpus / 2 },
+      ],
+      workers: { report_s: size.reportSeconds, lease_s: 16, gang_wait_s: 30, gang_peer_s: 5, cancel_s: 46 },
+      state: { rps: 150, write_rps: 60, value_kb: 8, txn_ops: 48 },
+      cloud: { rps: 10, list_lag_s: 6 },
+      machine_limits: { sockets: 2500 },
+    },
+  };
+}
+
+type Handle = (
+  method: string,
+  path: string,
+  body: unknown,
+  host: string,
+) => HttpAnswer | null | Promise<HttpAnswer | null>;
+
+function listen(address: string, handle: Handle): http.Server {
+  const [host, port] = address.split(':');
+  const server = http.createServer({ keepAliveTimeout: 120_000, noDelay: true }, (request, response) => {
+    const parts: Buffer[] = [];
+    request.on('data', (part: Buffer) => parts.push(part));
+    request.on('end', () => {
+      const text = Buffer.concat(parts).toString();
+      const body: unknown = text ? JSON.parse(text) : undefined;
+      void Promise.resolve(handle(request.method!, request.url!, body, request.socket.localAddress!)).then(
+        (answer) => {
+          if (!answer) return request.socket.destroy();
+          const out = JSON.stringify(answer.body);
+          response.writeHead(answer.status, { 'Content-Length': Buffer.byteLength(out) });
+          response.end(out);
+        },
+      );
+    });
+  });
+  server.listen(Number(port), host, 4096);
+  return server;
+}
+
+/** A deployment's surroundings; `step` moves its time on with the real one. */
+export class StandIns {
+  readonly time = new VirtualTime();
+  readonly checker: Checker;
+  readonly workers = new Map<string, FakeWorker>();
+  private readonly state: FakeStateService;
+  private readonly cloud: FakeCloud;
+  private readonly servers: http.Server[] = [];
+  private readonly byHost = new Map<string, FakeWorker>();
+  private readonly began = performance.now();
+  private stopped = false;
+
+  constructor(private readonly size: DeploymentSize) {
+    const settings: Settings = readSettings(settingsOf(0, size));
+    const { state, workers, cloud } = settings.cluster;
+    this.state = new FakeStateService(this.time, state);
+    this.checker = new Checker(
+      () => this.time.now,
+      teamsOf(settings),
+      [machineType],
+      workers.cancel_s * 1000,
+    );
+    this.cloud = new FakeCloud(
+      this.time,
+      Math.random,
+      [machineType],
+      cloud.list_lag_s * 1000,
+      (place) => this.bootWorker(place),
+      (id) => this.workers.get(id),
+    );
+    this.cloud.room.set('box|a|false', size.machines);
+    this.cloud.room.set('box|a|true', 0);
+    this.servers.push(
+      listen(STATE_ADDRESS, (method, path, body, host) => this.state.handle(host, method, path, body)),
+      listen(CLOUD_ADDRESS, (method, path, body) => this.cloud.handle(method, path, body)),
+      listen(
+        `0.0.0.0:${WORKER_PORT}`,
+        (_method, path, body, host) => this.byHost.get(host)?.handle(path, body) ?? null,
+      ),
+    );
+    void this.run();
+  }
+
+  private bootWorker(place: ConstructorParameters<typeof FakeWorker>[0]): FakeWorker {
+    const number = Number(place.id.replace(/\D/g, ''));
+    const host = `127.9.${Math.floor(number / 250)}.${(number % 250) + 1}`;
+    const worker = new FakeWorker({ ...place }, `${host}:${WORKER_PORT}`, httpCaller(), {
+      time: this.time,
+      random: Math.random,
+      checker: this.checker,
+      nodes: Array.from({ length: NODE_COUNT }, (_, i) => ({ name: `node-${i}`, address: nodeAddress(i) })),
+      type: () => machineType,
+      runMs: (job) => job.reckon_s * 1000 * (0.5 + Math.random()),
+      failing: new Set(),
+      workers: this.workers,
+      settings: readSettings(settingsOf(0, this.size)).cluster.workers,
+    });
+    this.byHost.set(host, worker);
+    this.workers.set(place.id, worker);
+    return worker;
+  }
+
+  private async run(): Promise<void> {
+    while (!this.stopped) {
+      await this.time.run(performance.now() - this.began - this.time.now);
+      await new Promise((done) => setTimeout(done, STEP_MS));
+    }
+  }
+
+  /** CPUs that running and fetching tasks hold. */
+  cpusHeld(): number {
+    let held = 0;
+    for (const worker of this.workers.values()) held += machineType.cpus - worker.free.cpus;
+    return held;
+  }
+
+  stop(): void {
+    this.stopped = true;
+    for (const server of this.servers) {
+      server.close();
+      server.closeAllConnections();
+    }
+  }
+}
