--- a/src/actors/controller.ts
+++ b/src/actors/controller.ts
@@ -19,12 +19,15 @@
 /** The shortest lease of the leader key. */
 const LOCK_MS = 2500;
 /** Processor time that may pass between two renewals: on a small share of a core it takes longer. */
-const LOCK_PROCESSOR_MS = 200;
+const LOCK_PROCESSOR_MS = 340;
+/** Of a worker's lease: a take-over after the leader's end has to fit in with the rest of it. */
+const LOCK_OF_WORKER_LEASE = 1 / 3;
 
 /** The lease of the leader key: a leader must not lose it to its own work. */
-export const lockMs = (cpuShare: number): number =>
-  Math.max(LOCK_MS, Math.round(LOCK_PROCESSOR_MS / cpuShare));
-
+export const lockMs = (cpuShare: number, workerLeaseS: number): number =>
+  Math.round(
+    Math.max(LOCK_MS, Math.min(LOCK_PROCESSOR_MS / cpuShare, workerLeaseS * 1000 * LOCK_OF_WORKER_LEASE)),
+  );
 const DEAF_MS = 5500;
 const HOLD_OFF_MS = 8000;
 /** Questions to the leader of how far its log is keep this distance; so long its log may take to come here. */
@@ -68,7 +71,8 @@
   ) {
     const { clock, store, logger, settings } = ports;
     this.remembers = clock.steady();
-    const lock = lockMs(settings.cluster.machine_limits.cpu_share);
+    const { machine_limits, workers } = settings.cluster;
+    const lock = lockMs(machine_limits.cpu_share, workers.lease_s);
     this.apartMs = lock + APART_AFTER_MS;
     this.positions = new Shared(clock, POSITIONS_APART_MS, () => this.leaderPosition());
     this.lock = new Lock(store, clock, { node: settings.node, term: 0, run }, lock, logger, (why) =>
--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -46,6 +46,8 @@
 }
 
 const ROUND_MS = 1000;
+/** Rounds keep this many times their own length apart, so that reports and submissions come before them. */
+const ROUNDS_APART = 4;
 const SAMPLE = 5;
 const FOLD_EVERY = 250;
 /** Starts of one round: about as many as the pen writes until the next. */
@@ -162,7 +164,7 @@
       this.cloud.tell({ t: 'fence', machines: all.filter((m) => [...m.live].some((l) => this.overdue(l))) });
     }
     this.cloud.tell({ t: 'tick' });
-    this.tell({ t: 'round' });
+    if (this.clock.steady() - this.roundAt >= this.roundMs * ROUNDS_APART) this.tell({ t: 'round' });
   }
 
   /** When this leader saw a withdrawal written: its record may have been begun long before. */
@@ -184,8 +186,8 @@
     if (this.soon || this.stopped) return;
     this.soon = true;
     // Rounds take a bounded share of the processor, however large the site.
-    const from = this.roundAt + this.roundMs * 5 - this.clock.steady();
-    this.clock.after(Math.min(ROUND_MS, Math.max(200, from)), () => {
+    const from = this.roundAt + this.roundMs * ROUNDS_APART - this.clock.steady();
+    this.clock.after(Math.max(200, from), () => {
       this.soon = false;
       this.tell({ t: 'round' });
     });
--- a/src/actors/workers.ts
+++ b/src/actors/workers.ts
@@ -49,6 +49,11 @@
 const endKey = (job: JobId, task: number, attempt: number): string => `end ${attemptKey(job, task, attempt)}`;
 
 const DIRECT_MS = 2000;
+/** Ticks come this often; one that is late by more shows a node that is behind with its work. */
+const TICK_MS = 1000;
+const LATE_TICK_MS = 250;
+/** So long after a late tick direct calls are left out. */
+const BEHIND_MS = 2000;
 /** Nothing ran here for so long: the node stood still, which says nothing about its machines. */
 const STOOD_STILL_MS = 2500;
 /** What queued while the node stood still is read within this time after. */
@@ -374,6 +379,8 @@
     const urgent = holdsWithdrawn(m);
     const all = this.certain() && !m.drop && k !== undefined;
     if (!all && !urgent) return;
+    // The answer to the machine's next report carries the same at a fraction of the cost.
+    if (!urgent && this.behind()) return;
     // Bounded however many machines a record touches: what is over it waits for a free call, or for
     // the worker's next report.
     if (this.open >= this.callsMost) return void (urgent ? this.first : this.queued).add(id);
@@ -431,7 +438,21 @@
     return true;
   }
 
+  /** Whether more is to be done here than the processor does in time. */
+  private behind(): boolean {
+    return this.clock.steady() < this.behindUntil;
+  }
+  private behindUntil = -Infinity;
+  private tickedAt = Infinity;
+
+  private noteLateness(): void {
+    const now = this.clock.steady();
+    if (now - this.tickedAt > TICK_MS + LATE_TICK_MS) this.behindUntil = now + BEHIND_MS;
+    this.tickedAt = now;
+  }
+
   private tick(): void {
+    this.noteLateness();
     for (const all of [this.known, this.introduced])
       for (const id of all.keys()) if (!this.state.machines.has(id)) all.delete(id);
     // Guards ran_cancelled: stops of withdrawn jobs go out again until a report shows the end, certain
@@ -442,7 +463,7 @@
     // Most come by themselves within a report's time, when a new leader has the most to do.
     if (now - this.since <= this.reportS * 1250 + 500) return;
     for (const m of this.state.machines.values()) {
-      if (this.open >= this.callsMost) break;
+      if (this.open >= this.callsMost || this.behind()) break;
       if (!isUp(m) || !m.addr || this.known.get(m.id)?.ours || this.busy.has(m.id)) continue;
       const i = this.introduced.get(m.id) ?? { next: now, pause: INTRODUCE_MS };
       if (i.next > now) continue;
--- a/test/workers.test.ts
+++ b/test/workers.test.ts
@@ -90,6 +90,36 @@
   });
 });
 
+describe('a node that is behind with its work', () => {
+  it('leaves direct calls out, but not the stops of cancelled jobs; reports bring the rest', async () => {
+    const { time, state, ids, calls, workers, report } = site();
+    const [first, second] = ids as [MachineId, MachineId];
+    for (const m of ids) workers.tell({ t: 'report', report: report(m, 1), reply: () => {} });
+    for (const late of [0, 1000, 1400]) {
+      await time.run(late);
+      workers.tell({ t: 'tick' });
+    }
+    for (const id of ['wk-1', 'wk-2'])
+      write(state, [{ e: 'job', spec: { id, tasks: 1, cpus: 1, gpus: 0, mem: 1 } as never }]);
+    write(state, [{ e: 'start', job: 'wk-1' as never, p: [[0, 1, first]] }]);
+    write(state, [{ e: 'start', job: 'wk-2' as never, p: [[0, 1, second]] }]);
+    write(state, [{ e: 'withdraw', job: 'wk-2' as never }]);
+    workers.tell({ t: 'push', machines: [first, second] });
+    expect([...calls.reached.keys()]).toEqual([`${second}:1`]);
+    const started: string[] = [];
+    const reply = (a: { orders: { op: string }[] } | null): void =>
+      void started.push(...a!.orders.map((o) => o.op));
+    workers.tell({ t: 'report', report: report(first, 2), reply });
+    expect(started).toEqual(['start']);
+    for (let second = 0; second < 3; second++) {
+      await time.run(1000);
+      workers.tell({ t: 'tick' });
+    }
+    workers.tell({ t: 'push', machines: [first] });
+    expect(calls.reached.has(`${first}:1`)).toBe(true);
+  });
+});
+
 describe('a report that repeats the last one', () => {
   it('keeps its machine alive, and is answered with what was decided meanwhile', async () => {
     const time = new VirtualTime();
