--- a/src/actors/cloud.ts
+++ b/src/actors/cloud.ts
@@ -1,4 +1,4 @@
-import { pieces } from '../core/pieces.js';
+import { chunked } from '../core/chunked.js';
 import type { Machine, State } from '../core/state.js';
 import type { MachineId, MachineType, Steady } from '../core/types.js';
 import type { Clock } from '../io/clock.js';
@@ -6,7 +6,7 @@
 import type { Cloud } from '../wire/cloud.js';
 import type { Listed } from '../wire/schemas.js';
 import { Actor } from './actor.js';
-import { Bucket } from './bucket.js';
+import { TokenBucket } from './token-bucket.js';
 import type { LogActor } from './log.js';
 
 type CloudMessage =
@@ -21,7 +21,7 @@
   private readonly renting = new Set<string>();
   private readonly returning = new Set<MachineId>();
   private readonly dry = new Map<string, { until: Steady; pause: number }>();
-  private readonly calls: Bucket;
+  private readonly calls: TokenBucket;
   private listedAt = -Infinity;
   private listing = false;
   private typesAt = -Infinity;
@@ -39,7 +39,7 @@
     private readonly logger: Logger,
   ) {
     super();
-    this.calls = new Bucket(clock, limits.rps * 0.85, limits.rps);
+    this.calls = new TokenBucket(clock, limits.rps * 0.85, limits.rps);
   }
 
   /** Whether a type, zone and kind had nothing to give a moment ago. */
@@ -120,7 +120,7 @@
         return this.trouble();
       }
       // The answer is the sure fence: the machines and all that was on them are gone.
-      for (const m of pieces(due, 50))
+      for (const m of chunked(due, 50))
         this.log.tell({
           entries: [{ e: 'gone', m }],
           done: () => {
--- a/src/actors/controller.ts
+++ b/src/actors/controller.ts
@@ -14,7 +14,7 @@
 import { Follower } from './follower.js';
 import { LeaderActor, type LeaderPorts } from './leader.js';
 import { DRIFT, Lock } from './lock.js';
-import { Shared } from './shared.js';
+import { SingleFlight } from './single-flight.js';
 
 /** The shortest lease of the leader key. */
 const LOCK_MS = 2500;
@@ -74,7 +74,7 @@
     const { machine_limits, workers } = settings.cluster;
     const lock = lockMs(machine_limits.cpu_share, workers.lease_s);
     this.apartMs = lock + APART_AFTER_MS;
-    this.positions = new Shared(clock, POSITIONS_APART_MS, () => this.leaderPosition());
+    this.positions = new SingleFlight(clock, POSITIONS_APART_MS, () => this.leaderPosition());
     this.lock = new Lock(store, clock, { node: settings.node, term: 0, run }, lock, logger, (why) =>
       this.stepDown(why),
     );
@@ -93,7 +93,7 @@
 
   async start(peers: Peers): Promise<void> {
     this.peers = peers;
-    await this.buryFormerSelf();
+    await this.endFormerLease();
     void this.follower.run();
     this.watchdog();
   }
@@ -114,7 +114,7 @@
   }
 
   /** A lock still held by an earlier run of this node holds nobody: that run is over. */
-  private async buryFormerSelf(): Promise<void> {
+  private async endFormerLease(): Promise<void> {
     const { store, settings } = this.ports;
     const k = await store.get(LEADER);
     const v = k?.value as LeaderValue | undefined;
@@ -334,7 +334,7 @@
     if (next === null || !(await this.follower.reaches(next, REACH_MS))) return null;
     return standing(this.follower.state, job, (j) => j.live.size) ?? noSuchJob;
   }
-  private readonly positions: Shared<number | null>;
+  private readonly positions: SingleFlight<number | null>;
 
   private async leaderPosition(): Promise<number | null> {
     const to = this.otherLeader();
--- a/src/actors/follower.ts
+++ b/src/actors/follower.ts
@@ -14,7 +14,7 @@
   type LeaderValue,
 } from '../wire/keys.js';
 import type { Revision, Stamp, Store } from '../wire/store.js';
-import { Shared } from './shared.js';
+import { SingleFlight } from './single-flight.js';
 import { unpack } from './snapshot.js';
 
 /** The snapshot in force, and the version of the key that says so. */
@@ -50,7 +50,7 @@
       term: (t: Term) => void;
     },
   ) {
-    this.reads = new Shared(clock, READ_APART_MS, () => this.read());
+    this.reads = new SingleFlight(clock, READ_APART_MS, () => this.read());
   }
 
   async run(): Promise<void> {
@@ -208,7 +208,7 @@
   fresh(): Promise<boolean> {
     return this.reads.get();
   }
-  private readonly reads: Shared<boolean>;
+  private readonly reads: SingleFlight<boolean>;
 
   private async read(): Promise<boolean> {
     // Guards the state of a node that began to lead meanwhile: only its pen applies records then.
--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -1,5 +1,5 @@
 import { giveBack, rent, type CapacityInput } from '../core/capacity.js';
-import { pieces } from '../core/pieces.js';
+import { chunked } from '../core/chunked.js';
 import { claims, place, type Random } from '../core/placement.js';
 import type { Policy } from '../core/policy.js';
 import { preempt } from '../core/preemption.js';
@@ -456,7 +456,7 @@
       }
     };
     const inParts = async (list: Op[], n: number, at: Stamp): Promise<boolean> => {
-      for (const part of pieces(list, n)) if ((await write(part, at)) === null) return false;
+      for (const part of chunked(list, n)) if ((await write(part, at)) === null) return false;
       return true;
     };
     const bulky = Math.max(1, Math.min(most, Math.floor(60 / limits.value_kb)));
--- a/src/actors/log.ts
+++ b/src/actors/log.ts
@@ -6,7 +6,7 @@
 import { LEADER, recordKey } from '../wire/keys.js';
 import type { Store } from '../wire/store.js';
 import { Actor } from './actor.js';
-import { Bucket } from './bucket.js';
+import { TokenBucket } from './token-bucket.js';
 
 export interface Append {
   entries: Entry[];
@@ -41,7 +41,7 @@
   private writingSince = 0;
   private lastStart = -Infinity;
   private tag = 0;
-  private readonly bucket: Bucket;
+  private readonly bucket: TokenBucket;
   private cancelWait: Cancel | null = null;
   readonly committed = new Subject<{ no: RecordNo; record: LogRecord }>();
   readonly writes = { count: 0, ms: 0 };
@@ -59,7 +59,7 @@
   ) {
     super();
     const burst = Math.max(1, Math.floor(limits.write_rps * 0.4));
-    this.bucket = new Bucket(clock, limits.write_rps * SHARE, burst);
+    this.bucket = new TokenBucket(clock, limits.write_rps * SHARE, burst);
   }
 
   /** Folding takes writes that the pen leaves over: never more than this at once. */
--- /dev/null
+++ b/src/actors/single-flight.ts
@@ -0,0 +1,39 @@
+/** Coalesces calls of a costly operation. */
+import type { Steady } from '../core/types.js';
+import { sleep, type Clock } from '../io/clock.js';
+
+/**
+ * Runs an operation at most once at a time for all callers. A run that began before a call can't answer
+ * it, so who calls during a run shares the next one; runs begin at least `intervalMs` apart.
+ */
+export class SingleFlight<T> {
+  private current: Promise<T> | null = null;
+  private next: Promise<T> | null = null;
+  private startedAt: Steady | null = null;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly intervalMs: number,
+    private readonly operation: () => Promise<T>,
+  ) {}
+
+  get(): Promise<T> {
+    if (!this.current) return (this.current = this.run());
+    this.next ??= this.current.then(() => {
+      this.next = null;
+      return (this.current = this.run());
+    });
+    return this.next;
+  }
+
+  private async run(): Promise<T> {
+    const earliest = this.startedAt === null ? 0 : this.startedAt + this.intervalMs;
+    await sleep(this.clock, Math.max(0, earliest - this.clock.steady()));
+    this.startedAt = this.clock.steady();
+    try {
+      return await this.operation();
+    } finally {
+      this.current = null;
+    }
+  }
+}
--- a/src/actors/snapshot.ts
+++ b/src/actors/snapshot.ts
@@ -1,5 +1,5 @@
 import { inflateSync } from 'node:zlib';
-import { pieces } from '../core/pieces.js';
+import { chunked } from '../core/chunked.js';
 import { State } from '../core/state.js';
 import { chunkKey, type HeadValue } from '../wire/keys.js';
 
@@ -13,7 +13,7 @@
 export async function lines(dump: Record<string, unknown>, pause: () => Promise<void>): Promise<string> {
   const out: string[] = [];
   for (const [field, value] of Object.entries(dump)) {
-    const parts = Array.isArray(value) && value.length > 0 ? pieces(value, AT_ONCE) : [value];
+    const parts = Array.isArray(value) && value.length > 0 ? chunked(value, AT_ONCE) : [value];
     for (const p of parts) {
       out.push(JSON.stringify([field, p]));
       if (parts.length > 1) await pause();
@@ -36,7 +36,7 @@
   return d;
 }
 
-/** A text packed, in pieces of at most so many characters. */
+/** A text packed, in chunks of at most so many characters. */
 export async function pack(text: string, size: number, deflate: Deflate): Promise<string[]> {
   const all = (await deflate(text)).toString('base64');
   const chunks: string[] = [];
--- /dev/null
+++ b/src/actors/token-bucket.ts
@@ -0,0 +1,36 @@
+/** Limits the rate of requests to a service. */
+import type { Steady } from '../core/types.js';
+import type { Clock } from '../io/clock.js';
+
+/** Allows `perSecond` requests a second, and a burst of those that were not used before. */
+export class TokenBucket {
+  private tokens: number;
+  private refilledAt: Steady;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly perSecond: number,
+    readonly burst: number,
+  ) {
+    this.tokens = burst;
+    this.refilledAt = clock.steady();
+  }
+
+  /** Tokens that may be taken now; below zero after more were taken than there were. */
+  get left(): number {
+    const now = this.clock.steady();
+    const refill = ((now - this.refilledAt) / 1000) * this.perSecond;
+    this.tokens = Math.min(this.burst, this.tokens + refill);
+    this.refilledAt = now;
+    return this.tokens;
+  }
+
+  take(count: number): void {
+    this.tokens = this.left - count;
+  }
+
+  /** Milliseconds until a token is there; zero or less when there is one. */
+  get wait(): number {
+    return ((1 - this.left) / this.perSecond) * 1000;
+  }
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -12,7 +12,7 @@
 import { hostPort } from '../io/address.js';
 import { realClock } from '../io/clock.js';
 import { httpCaller, type HttpCall } from '../io/http-client.js';
-import { Metrics } from '../io/metrics.js';
+import { Metrics, processFigures } from '../io/metrics.js';
 import { PeerLinks } from '../io/peers.js';
 import { server } from '../io/server.js';
 import { Cloud } from '../wire/cloud.js';
@@ -73,7 +73,7 @@
   );
   const http = server(
     controller,
-    () => ({ ...controller.status(), ...metrics.show() }),
+    () => ({ ...controller.status(), ...metrics.show(), process: processFigures() }),
     logger,
     metrics.measure,
   );
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -1,4 +1,4 @@
-import { pieces } from './pieces.js';
+import { chunked } from './chunked.js';
 import { allowed, cannotRepeat, slots, type PlacementResult } from './placement.js';
 import type { Live, Machine, State } from './state.js';
 import { avoids, fitsType, onlyTypes } from './state.js';
@@ -284,5 +284,5 @@
     )
       add('idle', m);
   }
-  return [...by].flatMap(([why, all]) => pieces(all, 200).map((m): Entry => ({ e: 'drop', m, why })));
+  return [...by].flatMap(([why, all]) => chunked(all, 200).map((m): Entry => ({ e: 'drop', m, why })));
 }
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -1,6 +1,6 @@
 import { avoids, fitsType, onlyTypes, type Job, type Live, type Machine, type State } from './state.js';
 import type { Entry, JobSpec, MachineId, Team, Wall } from './types.js';
-import { pieces } from './pieces.js';
+import { chunked } from './chunked.js';
 import { add, fits, plus, type Resources } from './resources.js';
 import { EPS, rank } from './types.js';
 
@@ -453,7 +453,7 @@
       u.cpus += spec.cpus * placed;
       u.gpus += spec.gpus * placed;
       starts += placed;
-      for (const part of pieces(p, 100)) entries.push({ e: 'start', job: spec.id, p: part });
+      for (const part of chunked(p, 100)) entries.push({ e: 'start', job: spec.id, p: part });
       some = some.filter((r) => r.cpus > EPS);
     }
     const left = want - placed;
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -1,4 +1,4 @@
-import { pieces } from './pieces.js';
+import { chunked } from './chunked.js';
 import { allowed, InVain, where, type Claim, type PlacementResult } from './placement.js';
 import { add, fits, plus, type Resources } from './resources.js';
 import { avoids, fitsType, type Job, type Live, type Machine, type State } from './state.js';
@@ -154,7 +154,7 @@
     if (missing > 0) left.push({ ...u, tasks: missing });
   }
   const entries = [...victims].flatMap(([job, tasks]) =>
-    pieces([...tasks], 500).map((p): Entry => ({
+    chunked([...tasks], 500).map((p): Entry => ({
       e: 'stop',
       job: job.spec.id,
       p,
--- a/src/io/metrics.ts
+++ b/src/io/metrics.ts
@@ -1,3 +1,5 @@
+/** What a node tells of itself at `GET /metrics`. */
+import { performance } from 'node:perf_hooks';
 import { build, type Histogram } from 'hdr-histogram-js';
 
 export type Measure = (
@@ -33,3 +35,26 @@
     );
   }
 }
+
+const MEGABYTE = 2 ** 20;
+const megabytes = (bytes: number): number => Math.round((bytes / MEGABYTE) * 10) / 10;
+
+/**
+ * Processor time and memory of this process since its start. The event loop's utilisation stands for its
+ * delay: a delay histogram wakes the process a hundred times a second, which small machines feel.
+ */
+export function processFigures(): object {
+  const { user, system } = process.cpuUsage();
+  const memory = process.memoryUsage();
+  return {
+    processorMs: { user: Math.round(user / 1000), system: Math.round(system / 1000) },
+    uptimeMs: Math.round(process.uptime() * 1000),
+    loopUtilisation: Math.round(performance.eventLoopUtilization().utilization * 1000) / 1000,
+    memoryMb: {
+      resident: megabytes(memory.rss),
+      heapTotal: megabytes(memory.heapTotal),
+      heapUsed: megabytes(memory.heapUsed),
+      external: megabytes(memory.external),
+    },
+  };
+}
--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -4,6 +4,7 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import { httpCaller } from '../src/io/http-client.js';
 import { MalformedMessageError, parseHead, ResponseReader } from '../src/io/http-message.js';
+import { processFigures } from '../src/io/metrics.js';
 import { WorkerConnection } from '../src/io/worker-connection.js';
 import { ReportReader, readReport } from '../src/wire/reports.js';
 
@@ -198,3 +199,11 @@
     expect(reader.read(twice(5))?.seq).toBe(3);
   });
 });
+
+describe('the figures of the process', () => {
+  it('name processor time and memory', () => {
+    const figures = processFigures() as { processorMs: { user: number }; memoryMb: Record<string, number> };
+    expect(figures.processorMs.user).toBeGreaterThan(0);
+    expect(figures.memoryMb.resident).toBeGreaterThan(figures.memoryMb.heapUsed!);
+  });
+});
