Histograms of Node's own; one library less to load at a start

Cause: of a start's 105 ms of processor time 10 went into loading the histogram library (its log writer's number formats). Node's perf_hooks has the same histogram.

--- a/src/io/metrics.ts
+++ b/src/io/metrics.ts
@@ -1,35 +1,37 @@
 /** What a node tells of itself at `GET /metrics`. */
-import { performance } from 'node:perf_hooks';
-import { build, type Histogram } from 'hdr-histogram-js';
+import { createHistogram, performance, type RecordableHistogram } from 'node:perf_hooks';
 
 export type Measure = (
   what: 'round' | 'write' | 'fold' | 'take_over' | 'answer' | 'question',
   ms: number,
 ) => void;
 
-/** Times in milliseconds, kept as histograms. */
+const HIGHEST_MS = 120_000;
+const SIGNIFICANT_DIGITS = 2;
+
+/** Times in whole milliseconds, kept as histograms; what takes less than one counts as one. */
 export class Metrics {
-  private readonly kept = new Map<string, Histogram>();
+  private readonly histograms = new Map<string, RecordableHistogram>();
 
   readonly measure: Measure = (what, ms) => {
-    let h = this.kept.get(what);
-    if (!h) {
-      h = build({ bitBucketSize: 32, highestTrackableValue: 120_000, numberOfSignificantValueDigits: 2 });
-      this.kept.set(what, h);
+    let histogram = this.histograms.get(what);
+    if (!histogram) {
+      histogram = createHistogram({ lowest: 1, highest: HIGHEST_MS, figures: SIGNIFICANT_DIGITS });
+      this.histograms.set(what, histogram);
     }
-    h.recordValue(Math.max(0, Math.min(120_000, Math.round(ms))));
+    histogram.record(Math.max(1, Math.min(HIGHEST_MS, Math.round(ms))));
   };
 
   show(): Record<string, object> {
     return Object.fromEntries(
-      [...this.kept].map(([k, h]) => [
-        `${k}_ms`,
+      [...this.histograms].map(([what, histogram]) => [
+        `${what}_ms`,
         {
-          count: h.totalCount,
-          p50: h.getValueAtPercentile(50),
-          p90: h.getValueAtPercentile(90),
-          p99: h.getValueAtPercentile(99),
-          max: h.maxValue,
+          count: histogram.count,
+          p50: histogram.percentile(50),
+          p90: histogram.percentile(90),
+          p99: histogram.percentile(99),
+          max: histogram.max,
         },
       ]),
     );
--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -4,7 +4,7 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import { httpCaller } from '../src/io/http-client.js';
 import { MalformedMessageError, parseHead, ResponseReader } from '../src/io/http-message.js';
-import { processFigures } from '../src/io/metrics.js';
+import { Metrics, processFigures } from '../src/io/metrics.js';
 import { WorkerConnection } from '../src/io/worker-connection.js';
 import { ReportReader, readReport } from '../src/wire/reports.js';
 
@@ -200,9 +200,12 @@
   });
 });
 
-describe('the figures of the process', () => {
-  it('name processor time and memory', () => {
+describe('metrics', () => {
+  it('name times, processor time and memory', () => {
     const figures = processFigures() as { processorMs: { user: number }; memoryMb: Record<string, number> };
+    const metrics = new Metrics();
+    for (const ms of [0.2, 3, 5, 200_000]) metrics.measure('round', ms);
+    expect(metrics.show().round_ms).toMatchObject({ count: 4, p50: 3 });
     expect(figures.processorMs.user).toBeGreaterThan(0);
     expect(figures.memoryMb.resident).toBeGreaterThan(figures.memoryMb.heapUsed!);
   });
