Rounds and direct calls give way only while a tick is late by half a second

Change: a tick counts as late from 500 ms on; rounds keep 1.5 times their length apart, four times while one is late.

--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -46,8 +46,11 @@
 }
 
 const ROUND_MS = 1000;
-/** Rounds keep this many times their own length apart, so that reports and submissions come before them. */
-const ROUNDS_APART = 4;
+/** A round that follows news keeps this many times the last one's length from it, up to the ordinary interval. */
+const NEWS_ROUNDS_APART = 5;
+/** An ordinary round keeps this many times the last one's length from it, and more while the node is behind. */
+const ROUNDS_APART = 1.5;
+const ROUNDS_APART_BEHIND = 4;
 const SAMPLE = 5;
 const FOLD_EVERY = 250;
 /** Starts of one round: about as many as the pen writes until the next. */
@@ -164,7 +167,8 @@
       this.cloud.tell({ t: 'fence', machines: all.filter((m) => [...m.live].some((l) => this.overdue(l))) });
     }
     this.cloud.tell({ t: 'tick' });
-    if (this.clock.steady() - this.roundAt >= this.roundMs * ROUNDS_APART) this.tell({ t: 'round' });
+    const apart = this.workers.behind() ? ROUNDS_APART_BEHIND : ROUNDS_APART;
+    if (this.clock.steady() - this.roundAt >= this.roundMs * apart) this.tell({ t: 'round' });
   }
 
   /** When this leader saw a withdrawal written: its record may have been begun long before. */
@@ -186,8 +190,8 @@
     if (this.soon || this.stopped) return;
     this.soon = true;
     // Rounds take a bounded share of the processor, however large the site.
-    const from = this.roundAt + this.roundMs * ROUNDS_APART - this.clock.steady();
-    this.clock.after(Math.max(200, from), () => {
+    const from = this.roundAt + this.roundMs * NEWS_ROUNDS_APART - this.clock.steady();
+    this.clock.after(Math.min(ROUND_MS, Math.max(200, from)), () => {
       this.soon = false;
       this.tell({ t: 'round' });
     });
--- a/src/actors/workers.ts
+++ b/src/actors/workers.ts
@@ -51,7 +51,7 @@
 const DIRECT_MS = 2000;
 /** Ticks come this often; one that is late by more shows a node that is behind with its work. */
 const TICK_MS = 1000;
-const LATE_TICK_MS = 250;
+const LATE_TICK_MS = 500;
 /** So long after a late tick direct calls are left out. */
 const BEHIND_MS = 2000;
 /** Nothing ran here for so long: the node stood still, which says nothing about its machines. */
@@ -439,7 +439,7 @@
   }
 
   /** Whether more is to be done here than the processor does in time. */
-  private behind(): boolean {
+  behind(): boolean {
     return this.clock.steady() < this.behindUntil;
   }
   private behindUntil = -Infinity;
