The profile takes its flags from deploy/service.toml, and reads its settings once

On reading the change once more: V8's flags stood a second time in tools/profile, settings were read anew for each worker's boot, and the nodes were counted in two files.

--- a/tools/profile/main.ts
+++ b/tools/profile/main.ts
@@ -11,10 +11,15 @@
 import { httpCaller } from '../../src/io/http-client.js';
 import type { JobOnWire } from '../../test/fakes/checker.js';
 import { timeByFunction, timeByPart, type PartTime, type SampledProfile } from './parts.js';
-import { StandIns, nodeAddress, settingsOf, type DeploymentSize } from './stand-ins.js';
+import { NODES, StandIns, nodeAddress, settingsOf, type DeploymentSize } from './stand-ins.js';
 
-const NODES = [0, 1, 2];
-const FLAGS = ['--max-old-space-size=96', '--max-semi-space-size=4'];
+/** The flags that a deployment runs with. */
+function deployedFlags(): string[] {
+  const run = /^run = "node (.*) target\/main\.js/m.exec(readFileSync('deploy/service.toml', 'utf8'));
+  if (!run) throw new Error('deploy/service.toml: run: expected "node FLAGS target/main.js ..."');
+  return run[1]!.split(' ');
+}
+const FLAGS = deployedFlags();
 const ARRAY_TASKS = 350;
 const CPUS_PER_MACHINE = 16;
 const QUESTION_EVERY_MS = 5000;
--- a/tools/profile/stand-ins.ts
+++ b/tools/profile/stand-ins.ts
@@ -16,7 +16,8 @@
 const CLOUD_ADDRESS = '127.0.0.3:8443';
 const WORKER_PORT = 9000;
 const STEP_MS = 5;
-const NODE_COUNT = 3;
+/** The controllers, by number. */
+export const NODES: readonly number[] = [0, 1, 2];
 
 export interface DeploymentSize {
   machines: number;
@@ -40,7 +41,7 @@
 
 /** The settings file of one node. */
 export function settingsOf(index: number, size: DeploymentSize): object {
-  const others = Array.from({ length: NODE_COUNT }, (_, i) => i).filter((i) => i !== index);
+  const others = NODES.filter((i) => i !== index);
   const cpus = size.machines * machineType.cpus;
   return {
     node: `node-${index}`,
@@ -104,9 +105,12 @@
   private readonly began = performance.now();
   private stopped = false;
 
-  constructor(private readonly size: DeploymentSize) {
+  private readonly workerSettings: Settings['cluster']['workers'];
+
+  constructor(size: DeploymentSize) {
     const settings: Settings = readSettings(settingsOf(0, size));
     const { state, workers, cloud } = settings.cluster;
+    this.workerSettings = workers;
     this.state = new FakeStateService(this.time, state);
     this.checker = new Checker(
       () => this.time.now,
@@ -142,12 +146,12 @@
       time: this.time,
       random: Math.random,
       checker: this.checker,
-      nodes: Array.from({ length: NODE_COUNT }, (_, i) => ({ name: `node-${i}`, address: nodeAddress(i) })),
+      nodes: NODES.map((i) => ({ name: `node-${i}`, address: nodeAddress(i) })),
       type: () => machineType,
       runMs: (job) => job.reckon_s * 1000 * (0.5 + Math.random()),
       failing: new Set(),
       workers: this.workers,
-      settings: readSettings(settingsOf(0, this.size)).cluster.workers,
+      settings: this.workerSettings,
     });
     this.byHost.set(host, worker);
     this.workers.set(place.id, worker);
