--- /dev/null
+++ b/test/fakes/leading.ts
@@ -0,0 +1,36 @@
+import { WorkersActor } from '../../src/actors/workers.js';
+import type { Append } from '../../src/actors/log.js';
+import type { State } from '../../src/core/state.js';
+import type { Term } from '../../src/core/types.js';
+import type { HttpCall } from '../../src/io/http-client.js';
+import { NodeClock, type VirtualTime } from './clock.js';
+import { silent } from './world.js';
+
+/** Report period of the workers, in seconds. */
+export const REPORT_S = 3;
+
+export interface Leading {
+  state: State;
+  time: VirtualTime;
+  call: HttpCall;
+  append?: (append: Append) => void;
+  term?: number;
+  mostCalls?: number;
+}
+
+/** What a leader with a certain lock hears of its workers and tells them. */
+export const leadingWorkers = (of: Leading): WorkersActor =>
+  new WorkersActor(
+    of.state,
+    { tell: of.append ?? (() => {}) } as never,
+    of.call,
+    new NodeClock(of.time, 1, 0),
+    (of.term ?? 1) as Term,
+    REPORT_S,
+    of.mostCalls ?? 150,
+    () => true,
+    () => true,
+    () => {},
+    () => {},
+    silent,
+  );
--- a/test/fakes/network.ts
+++ b/test/fakes/network.ts
@@ -31,6 +31,9 @@
     this.hosts.delete(address);
   }
 
+  /** How long a request is held back on its way, in ms; 0: not at all. Whoever sent it gets no answer. */
+  holds: (address: string, body: unknown) => number = () => 0;
+
   /** '*' stands for every host. */
   cut(a: string, b: string, ms: number, hold = false): void {
     this.cuts.push({ a, b, hold, until: this.time.now + ms });
@@ -148,7 +151,7 @@
             },
           );
         };
-        this.time.after(this.delay(), arrive);
+        this.time.after(this.delay() + this.holds(address, body), arrive);
       });
   }
 }
--- a/test/workers.test.ts
+++ b/test/workers.test.ts
@@ -1,36 +1,23 @@
 import { describe, expect, it } from 'vitest';
-import { WorkersActor } from '../src/actors/workers.js';
+import type { WorkersActor } from '../src/actors/workers.js';
 import { State } from '../src/core/state.js';
-import type { Entry, MachineId, Term, WorkerReport } from '../src/core/types.js';
+import type { Entry, MachineId, WorkerReport } from '../src/core/types.js';
 import type { HttpAnswer, HttpCall } from '../src/io/http-client.js';
 import { readReport } from '../src/wire/reports.js';
-import { NodeClock, VirtualTime } from './fakes/clock.js';
-import { box, silent, write } from './fakes/world.js';
+import { VirtualTime } from './fakes/clock.js';
+import { leadingWorkers } from './fakes/leading.js';
+import { box, write } from './fakes/world.js';
 
 const MACHINES = 1260;
 const MOST = 150;
 
-/** The ear and mouth of a leader that holds its lock. */
 const leading = (
   state: State,
   time: VirtualTime,
   call: HttpCall,
   log: (entries: Entry[]) => void = () => {},
 ): WorkersActor =>
-  new WorkersActor(
-    state,
-    { tell: (a: { entries: Entry[] }) => log(a.entries) } as never,
-    call,
-    new NodeClock(time, 1, 0),
-    1 as Term,
-    3,
-    MOST,
-    () => true,
-    () => true,
-    () => {},
-    () => {},
-    silent,
-  );
+  leadingWorkers({ state, time, call, append: ({ entries }) => log(entries), mostCalls: MOST });
 
 /** A leader's ear and mouth on a large site, with one task started on each machine. */
 function site() {
