An answered direct call settles itself alone; what was given up meets a higher fence

Cause: an attempt had one entry for all copies of its start, and the answer to one copy deleted it. An earlier copy that was given up and is delivered a minute later then started the task again, after the worker had been told to forget it. Change: UnsettledCalls keeps each direct call with its number, fence and attempts; forget and 'never started' wait for all of them. A call that is given up raises the fence of what is sent next, so that the late copy is refused. An answer that can't be read settles nothing.

--- a/src/actors/workers.ts
+++ b/src/actors/workers.ts
@@ -21,6 +21,7 @@
   WorkerReport,
 } from '../core/types.js';
 import type { Clock } from '../io/clock.js';
+import { UnsettledCalls, type AttemptKey, type CallNumber } from '../core/unsettled-calls.js';
 import type { HttpAnswer, HttpCall } from '../io/http-client.js';
 import type { Logger } from '../io/logger.js';
 import { readReport } from '../wire/reports.js';
@@ -62,6 +63,16 @@
 const INTRODUCE_MS = 2000;
 const INTRODUCE_MOST_MS = 15_000;
 
+/** Unsettled calls with starts to one worker; past it starts travel in the answers to its reports only. */
+const MOST_UNSETTLED_CALLS = 16;
+
+const startsOf = (orders: readonly Command[]): AttemptKey[] =>
+  orders.filter((o) => o.op === 'start').map((o) => attemptKey(o.job, o.task, o.attempt));
+
+/** Only the answer to a report forgets, since a direct call may be carried out late. */
+const mayGoDirectly = (order: Command, k: Known): boolean =>
+  order.op === 'stop' || (order.op === 'start' && k.calls.size < MOST_UNSETTLED_CALLS);
+
 /** Whether a report says what the one before said, and is newer. */
 const repeats = (r: WorkerReport, last: WorkerReport): boolean =>
   r.tasks === last.tasks &&
@@ -253,19 +264,19 @@
         fence: k?.fence ?? (0 as Fence),
         ours: false,
         quietAt: null,
-        unsure: new Map(),
-        sent: new Map(),
+        // Calls to an earlier session carry its number, so the worker refuses them.
+        calls: new UnsettledCalls(),
+        startedInAnswer: new Map(),
       };
       this.known.set(r.machine, k);
     }
     k.report = r;
     if (r.term === this.term) {
       k.ours = true;
-      // Launches under a lower fence are void from now on; what they started before is in this report.
-      for (const [key, fence] of k.unsure) if (fence < r.fence) k.unsure.delete(key);
+      k.calls.fenceShown(r.fence);
     }
     // A worker sends its next report when it has taken, or given up, the answer to the last.
-    if (heard) for (const [key, seq] of k.sent) if (seq < r.seq) k.sent.delete(key);
+    if (heard) for (const [key, seq] of k.startedInAnswer) if (seq < r.seq) k.startedInAnswer.delete(key);
     // A copy that is late by a term proves nothing: a live worker shows ours with its next report.
     if (heard && (k.ours || r.session > logged) && this.clock.steady() - this.wokeAt > QUEUED_MS)
       k.at = this.clock.steady();
@@ -339,15 +350,15 @@
     // The answer carries what waited for a direct call.
     this.queued.delete(r.machine);
     this.first.delete(r.machine);
-    for (const o of orders) if (o.op === 'start') k.sent.set(attemptKey(o.job, o.task, o.attempt), r.seq);
-    const due = orders.length > 0 || k.unsure.size > 0 || k.sent.size > 0 || k.fence > r.fence;
+    for (const key of startsOf(orders)) k.startedInAnswer.set(key, r.seq);
+    const due = orders.length > 0 || k.calls.size > 0 || k.startedInAnswer.size > 0 || k.fence > r.fence;
     k.quietAt = m && !due && k.ours && this.settled() ? m.changes : null;
     return { fence: k.fence, orders };
   }
 
   private orders(k: Known): Command[] {
     const { orders, unsent, above } = commands(this.state, k, this.settled());
-    if (above !== null && above >= k.fence) k.fence = (above + 1) as Fence;
+    if (above !== null) this.raiseFence(k, above);
     if (unsent.length > 0 && k.ours) this.tellVoid(unsent);
     if (this.withdrawing.size === 0) return orders;
     return orders.filter((o) => o.op !== 'start' || !this.withdrawing.has(o.job));
@@ -384,27 +395,37 @@
     // Bounded however many machines a record touches: what is over it waits for a free call, or for
     // the worker's next report.
     if (this.open >= this.callsMost) return void (urgent ? this.first : this.queued).add(id);
-    // Only the answer to a report forgets: a direct message may be executed late.
-    const orders: Command[] = all ? this.orders(k).filter((o) => o.op !== 'forget') : [];
+    const orders: Command[] = all ? this.orders(k).filter((o) => mayGoDirectly(o, k)) : [];
     if (urgent && orders.length === 0)
       orders.push(...stopsOfWithdrawn(this.state, m, k?.report.session === m.session ? k.report : null));
     if (orders.length > 0 || (k?.ours && k.fence > k.report.fence)) this.direct(m, k, orders);
   }
 
   private direct(m: Machine, k: Known | undefined, orders: Command[]): void {
-    const starts = orders.filter((o) => o.op === 'start').map((o) => attemptKey(o.job, o.task, o.attempt));
-    for (const s of starts) k?.unsure.set(s, k.fence);
+    const attempts = new Set(startsOf(orders));
+    const number = ++this.callNumber as CallNumber;
+    const fence = k?.fence ?? (0 as Fence);
+    if (attempts.size > 0) k?.calls.sent({ number, fence, attempts });
     this.busy.add(m.id);
     this.callWorker(m, k?.report.session ?? m.session, orders, (a) => {
       // Guards against a worker that is never called again, whatever became of its session meanwhile.
       this.busy.delete(m.id);
-      if (a && (a.status === 200 || a.status === 409)) {
-        for (const s of starts) k?.unsure.delete(s);
-        this.takeAnswer(m, a);
-      }
+      const isSettled = a !== null && (a.status === 200 || a.status === 409) && this.takeAnswer(m, a);
+      if (isSettled) k?.calls.answered(number);
+      else if (k && attempts.size > 0) this.raiseFence(k, fence);
       if (this.again.delete(m.id)) this.push(m.id);
     });
   }
+  private callNumber = 0;
+
+  /**
+   * Guards ran_twice and ran_cancelled: a call that got no answer may be carried out much later. What is sent
+   * from now on goes under a higher fence, so the worker refuses the late call once it has heard anything
+   * newer, and its next report settles the call.
+   */
+  private raiseFence(k: Known, above: Fence): void {
+    if (above >= k.fence) k.fence = (above + 1) as Fence;
+  }
 
   /** Every direct call is counted while it is open; its end lets in what waits for one. */
   private callWorker(
--- a/src/core/recovery.ts
+++ b/src/core/recovery.ts
@@ -1,16 +1,18 @@
 import { CANCELLED, type Live, type Machine, type State } from './state.js';
 import type { Cause, Command, Entry, Fence, JobId, WorkerReport } from './types.js';
+import type { AttemptKey, UnsettledCalls } from './unsettled-calls.js';
 
 /** What one worker has shown, as far as this leader has seen it. */
 export interface Seen {
   report: WorkerReport;
-  /** Attempts for which a direct launch was sent and not answered, and the fence that it went under. */
-  unsure: Map<string, Fence>;
-  /** Attempts launched in the answer to a report, and that report's number: the next report settles them. */
-  sent: Map<string, number>;
+  /** Direct calls with starts that may still be carried out. */
+  calls: UnsettledCalls;
+  /** Attempts started in the answer to a report, and that report's number: the next report settles them. */
+  startedInAnswer: Map<AttemptKey, number>;
 }
 
-export const attemptKey = (job: string, task: number, attempt: number): string => `${job}/${task}#${attempt}`;
+export const attemptKey = (job: string, task: number, attempt: number): AttemptKey =>
+  `${job}/${task}#${attempt}`;
 
 /** The report's facts that the log does not hold yet. */
 export function facts(
@@ -62,10 +64,10 @@
     if (ours && !l.stop && t.state !== 'exited') continue;
     const ref = { job: t.job, task: t.task, attempt: t.attempt };
     if (t.state === 'exited') {
-      // Guards ran_twice: forgetting an attempt lets a late launch run it again, so the end is
-      // recorded first, and no launch of it may still be on its way.
-      const launched = seen.unsure.get(attemptKey(t.job, t.task, t.attempt));
-      if (launched !== undefined) settle(launched);
+      // Guards ran_twice and ran_cancelled: forgetting an attempt lets a late start run it again, so the end
+      // is recorded first, and no copy of its start may still be on its way, whichever copy was answered.
+      const fence = seen.calls.highestFenceOf(attemptKey(t.job, t.task, t.attempt));
+      if (fence !== null) settle(fence);
       else if (!ours) orders.push({ op: 'forget', ...ref });
     } else if (!ours) orders.push({ op: 'stop', ...ref, grace: 0 });
     else if (l.stop && (t.state !== 'saving' || l.stop.grace === 0))
@@ -80,11 +82,11 @@
         orders.push({ op: 'start', job: l.job.spec.id, task: l.task, attempt: l.attempt });
       continue;
     }
-    // Guards starts after a confirmed cancellation: a launch that may still arrive is neither repeated
+    // Guards starts after a confirmed cancellation: a start that may still arrive is neither repeated
     // nor stopped (the worker knows nothing to stop), but made void by a higher fence.
-    const launched = seen.unsure.get(key);
-    if (launched !== undefined) settle(launched);
-    else if (!seen.sent.has(key) && mayStart) unsent.push(l);
+    const fence = seen.calls.highestFenceOf(key);
+    if (fence !== null) settle(fence);
+    else if (!seen.startedInAnswer.has(key) && mayStart) unsent.push(l);
   }
   return { orders, unsent, above };
 }
--- a/test/direct-calls.test.ts
+++ b/test/direct-calls.test.ts
@@ -1,9 +1,115 @@
 import { describe, expect, it } from 'vitest';
+import { OneWorker, type CallFate } from './fakes/one-worker.js';
 import { begun, settle } from './fakes/stories.js';
 import type { World } from './fakes/world.js';
 
 // A direct call that gets no answer in time may still reach its worker, minutes later.
 
+const GIVEN_UP_MS = 2100;
+/** Longer than any call of these tests is held up. */
+const ALL_ARRIVED_MS = 125_000;
+const answered: CallFate = { deliveredAfterMs: 5, answered: true };
+const held = (seconds: number): CallFate => ({ deliveredAfterMs: seconds * 1000, answered: false });
+/** Carried out at once; only the answer is lost. */
+const unanswered: CallFate = { deliveredAfterMs: 5, answered: false };
+
+/** Sends copies of one start until the last of them is answered: no report gets through meanwhile. */
+async function copiesOfOneStart(one: OneWorker, fates: CallFate[]): Promise<void> {
+  one.fates = [...fates];
+  one.mute(fates.length * GIVEN_UP_MS);
+  one.start();
+  for (let sent = 1; sent < fates.length; sent++) {
+    await one.time.run(GIVEN_UP_MS);
+    one.push();
+  }
+  await one.time.run(200);
+  expect(one.startsSent).toBe(fates.length);
+}
+
+/** Everything that was held up has arrived: nothing of it started anew, and nothing is left behind. */
+async function nothingStartsAnew(one: OneWorker): Promise<void> {
+  await one.time.run(ALL_ARRIVED_MS);
+  expect(one.violations).toEqual([]);
+  expect([...one.worker.tasks.values()].filter((task) => task.standing === 'ended')).toEqual([]);
+}
+
+const meetings: Record<string, (one: OneWorker) => void> = {
+  'the task is stopped': (one) => one.stop(),
+  'the job is cancelled': (one) => one.cancel(),
+  'the task is stopped and starts again': (one) => {
+    one.stop();
+    one.time.after(4000, () => one.start());
+  },
+  'the leader changes, and the task is stopped': (one) => {
+    one.changeLeader();
+    one.time.after(6000, () => one.stop());
+  },
+  'the worker begins a new session, and the task starts again': (one) => {
+    one.worker.nextSession();
+    one.time.after(4000, () => one.start());
+  },
+  'the task completes': (one) => one.complete(),
+};
+const copies: Record<string, CallFate[]> = {
+  'the first arrives after 3 s': [held(3), answered],
+  'the first arrives after 58 s': [held(58), answered],
+  'the first arrives after 120 s': [held(120), answered],
+  'the first of three arrives last': [held(58), held(10), answered],
+  'the second of three arrives last': [held(10), held(58), answered],
+  'the first of three was carried out, the second arrives last': [unanswered, held(58), answered],
+  'the second of three was carried out, the first arrives last': [held(58), unanswered, answered],
+};
+
+describe('copies of one start, of which only the last is answered', () => {
+  for (const [name, fates] of Object.entries(copies))
+    for (const [meeting, then] of Object.entries(meetings))
+      it(`${name}; ${meeting}`, async () => {
+        const one = await OneWorker.begun();
+        await copiesOfOneStart(one, fates);
+        then(one);
+        await nothingStartsAnew(one);
+      });
+
+  it('whose end is reported in the answer itself', async () => {
+    const one = await OneWorker.begun(0.001);
+    // The answer leaves after the task has ended.
+    const late: CallFate = { deliveredAfterMs: 5, answered: true };
+    await copiesOfOneStart(one, [held(58), unanswered, late]);
+    await nothingStartsAnew(one);
+  });
+});
+
+describe('a stop that overtakes its start', () => {
+  for (const seconds of [2.5, 20, 120])
+    it(`by ${seconds} s: the start is void, and the task starts again only after that`, async () => {
+      const one = await OneWorker.begun();
+      one.fates = [held(seconds)];
+      one.mute(GIVEN_UP_MS);
+      one.start();
+      await one.time.run(500);
+      one.stop();
+      await one.time.run(8000);
+      one.start();
+      await nothingStartsAnew(one);
+      expect(one.state.jobs.get(one.job)!.live.size).toBe(1);
+    });
+});
+
+describe('a worker that is silent', () => {
+  it('keeps a cancelled start in the log: no fence was seen to reach it', async () => {
+    const one = await OneWorker.begun();
+    one.fates = [held(60)];
+    one.start();
+    one.silence(10_000);
+    await one.time.run(500);
+    one.cancel();
+    await one.time.run(9000);
+    expect(one.state.jobs.get(one.job)?.live.size).toBe(1);
+    await nothingStartsAnew(one);
+    expect(one.state.jobs.has(one.job)).toBe(false);
+  });
+});
+
 /** The first call with a start of the job to each machine is held up; the copies after it get through. */
 function holdFirstStarts(w: World, job: string, ms: number): void {
   const seen = new Set<string>();
--- a/test/recovery.test.ts
+++ b/test/recovery.test.ts
@@ -2,6 +2,7 @@
 import { attemptKey, commands, stopsOfWithdrawn, type Seen } from '../src/core/recovery.js';
 import { State } from '../src/core/state.js';
 import type { Entry, Fence, MachineId, TaskReport, WorkerReport } from '../src/core/types.js';
+import { UnsettledCalls, type CallNumber } from '../src/core/unsettled-calls.js';
 import { box, write } from './fakes/world.js';
 
 const state = (entries: Entry[]): State => {
@@ -33,10 +34,18 @@
     session: 1,
     tasks: tasks.map((t) => ({ job: 'wk-1', attempt: 1, ...t })),
   } as never as WorkerReport,
-  unsure: new Map(),
-  sent: new Map(),
+  calls: new UnsettledCalls(),
+  startedInAnswer: new Map(),
   ...over,
 });
+/** Calls that start the first task, one under each of these fences, numbered from 1. */
+const unsettled = (fences: number[]): UnsettledCalls => {
+  const calls = new UnsettledCalls();
+  const attempts = new Set([attemptKey('wk-1', 0, 1)]);
+  for (const [i, fence] of fences.entries())
+    calls.sent({ number: (i + 1) as CallNumber, fence: fence as Fence, attempts });
+  return calls;
+};
 const started: Entry = { e: 'start', job: 'wk-1' as never, p: [[0, 1, 'vm-1' as MachineId]] };
 const withdrawn: Entry = { e: 'withdraw', job: 'wk-1' as never };
 const ended: Entry = { e: 'end', p: [['wk-1' as never, 0, 1, 'done', false]] };
@@ -61,22 +70,32 @@
     expect(commands(state([started, ended]), seen(exited), true).orders).toEqual([
       { op: 'forget', ...first },
     ]);
-    const unsure = new Map([[attemptKey('wk-1', 0, 1), 4 as Fence]]);
-    const held = commands(state([started, ended]), seen(exited, { unsure }), true);
-    // A launch that may be on its way is made void by a fence above its own.
+    const calls = unsettled([1, 4]);
+    const held = commands(state([started, ended]), seen(exited, { calls }), true);
+    // A start that may be on its way is made void by a fence above its own.
     expect(held).toMatchObject({ orders: [], above: 4 });
+    // The answer to one of two calls says nothing of the other.
+    calls.answered(2 as CallNumber);
+    expect(commands(state([started, ended]), seen(exited, { calls }), true)).toMatchObject({
+      orders: [],
+      above: 1,
+    });
+    calls.fenceShown(2 as Fence);
+    expect(commands(state([started, ended]), seen(exited, { calls }), true).orders).toEqual([
+      { op: 'forget', ...first },
+    ]);
   });
 
   it('is no start once the job is withdrawn, though a launch may still arrive: it meets a higher fence', () => {
-    const unsure = new Map([[attemptKey('wk-1', 0, 1), 0 as Fence]]);
+    const calls = unsettled([0]);
     const s = state([started, withdrawn]);
-    expect(commands(s, seen([], { unsure }), true)).toEqual({ orders: [], unsent: [], above: 0 });
+    expect(commands(s, seen([], { calls }), true)).toEqual({ orders: [], unsent: [], above: 0 });
     // In the answer to a report it is settled by the next report.
-    const sent = new Map([[attemptKey('wk-1', 0, 1), 7]]);
-    expect(commands(s, seen([], { sent }), true)).toEqual({ orders: [], unsent: [], above: null });
+    const startedInAnswer = new Map([[attemptKey('wk-1', 0, 1), 7]]);
+    expect(commands(s, seen([], { startedInAnswer }), true)).toEqual({ orders: [], unsent: [], above: null });
     expect(commands(s, seen([]), true)).toMatchObject({ orders: [], unsent: [{ task: 0 }], above: null });
     // It arrived before the fence did.
-    expect(commands(s, seen([{ task: 0, state: 'fetching' }], { unsure }), true).orders).toEqual([
+    expect(commands(s, seen([{ task: 0, state: 'fetching' }], { calls }), true).orders).toEqual([
       { op: 'stop', ...first, grace: 0 },
     ]);
   });
