--- a/src/actors/controller.ts
+++ b/src/actors/controller.ts
@@ -127,7 +127,7 @@
    * likes: it hands over when a peer is reached by workers, or when it hears no peer either.
    */
   private deaf(l: LeaderActor): boolean {
-    if (!l.workers.deaf(DEAF_MS)) return false;
+    if (!l.workers.intake.hearsNobody(DEAF_MS)) return false;
     const fresh = this.heard(3000);
     return fresh.length === 0 || fresh.some((p) => p.workers > 0);
   }
@@ -244,7 +244,7 @@
       leaderTerm: this.leader?.term ?? 0,
       takingOver: this.lock.contending,
       remembersMs: Math.min(1e12, clock.steady() - this.remembers),
-      workers: this.leading?.workers.heard(4000) ?? this.called(),
+      workers: this.leading?.workers.intake.countHeard(4000) ?? this.called(),
       stateAge: this.leading
         ? this.lock.uncertainFor()
         : Math.min(1e9, clock.steady() - this.follower.lastAnswer),
@@ -288,7 +288,7 @@
       return reply({ answer: 'elsewhere', leader: this.otherLeader() });
     }
     l.workers.tell({
-      t: 'report',
+      kind: 'report',
       report: r,
       reply: (a) =>
         reply(
--- /dev/null
+++ b/src/actors/first-reports.ts
@@ -0,0 +1,59 @@
+/**
+ * Whether a new leader knows what runs: each live worker has reported under its term, or one report period has
+ * passed. The same holds after a standstill of the node.
+ */
+import { isUp, type Machine, type State } from '../core/state.js';
+import type { MachineId, Steady } from '../core/types.js';
+import type { Clock } from '../io/clock.js';
+import type { NodePace } from './node-pace.js';
+import type { WorkerView } from './worker-view.js';
+
+/** Reports come give or take a quarter of their period. */
+const REPORT_SPREAD = 1.25;
+/** For the way of the last report, and its handling. */
+const REPORT_WAY_MS = 500;
+
+export class FirstReports {
+  /** The beginning of the wait that is over. */
+  private settledSince: Steady | null = null;
+  /** The machine that was last found not to have reported: while it has not, no other is looked at. */
+  private awaited: MachineId | null = null;
+
+  constructor(
+    private readonly state: State,
+    private readonly views: ReadonlyMap<MachineId, WorkerView>,
+    private readonly pace: NodePace,
+    private readonly clock: Clock,
+    private readonly reportPeriodS: number,
+  ) {}
+
+  areIn(): boolean {
+    const { since } = this.pace;
+    if (this.settledSince === since) return true;
+    if (this.periodIsOver() || !this.awaitsReport()) this.settledSince = since;
+    return this.settledSince === since;
+  }
+
+  periodIsOver(): boolean {
+    const waited = this.clock.steady() - this.pace.since;
+    return waited > this.reportPeriodS * 1000 * REPORT_SPREAD + REPORT_WAY_MS;
+  }
+
+  private awaitsReport(): boolean {
+    const { machines } = this.state;
+    const last = this.awaited === null ? undefined : machines.get(this.awaited);
+    if (last && this.isUnreported(last)) return true;
+    this.awaited = null;
+    for (const machine of machines.values())
+      if (this.isUnreported(machine)) {
+        this.awaited = machine.id;
+        return true;
+      }
+    return false;
+  }
+
+  private isUnreported(machine: Machine): boolean {
+    const view = this.views.get(machine.id);
+    return isUp(machine) && !(view?.knowsTerm && view.heardAt >= this.pace.since);
+  }
+}
--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -106,20 +106,15 @@
     this.log = new LogActor(state, store, clock, c.state, held.term, held.stamp, logger, onDeposed, (ms) =>
       ports.measure('write', ms),
     );
-    this.workers = new WorkersActor(
-      state,
-      this.log,
-      call,
-      clock,
-      held.term,
-      c.workers.report_s,
-      callsMost(c.machine_limits.sockets),
-      certain,
-      holds,
-      () => this.hurry(),
-      onHigher,
-      logger,
-    );
+    this.workers = new WorkersActor({
+      ...{ state, log: this.log, call, clock, logger, term: held.term },
+      reportPeriodS: c.workers.report_s,
+      mostCalls: callsMost(c.machine_limits.sockets),
+      isCertain: certain,
+      mayAnswerUncertain: holds,
+      onFactWritten: () => this.hurry(),
+      onHigherTerm: onHigher,
+    });
     const teams = teamsOf(settings);
     this.teams = teams;
     this.within = new Map(
@@ -142,7 +137,7 @@
       c.state.value_kb,
       certain,
       (j) => this.workers.running(j),
-      (job, open) => this.workers.tell({ t: 'withdrawing', job, open }),
+      (job, isUnderWay) => this.workers.tell({ kind: 'cancelling', job, isUnderWay }),
     );
     this.cloud = new CloudActor(state, cloud, this.log, clock, c.cloud, certain, logger);
     this.log.committed.subscribe(({ no, record }) => this.committed(no, record));
@@ -160,14 +155,14 @@
   private tick(): void {
     if (this.stopped) return;
     this.cancelTick = this.clock.after(ROUND_MS, () => this.tick());
-    this.workers.tell({ t: 'tick' });
+    this.workers.tell({ kind: 'tick' });
     // Without a certain lock no return can be logged; what a withdrawal asks for is done all the same.
     if (!this.lock.certain()) {
       const all = [...this.state.machines.values()];
       this.cloud.tell({ t: 'fence', machines: all.filter((m) => [...m.live].some((l) => this.overdue(l))) });
     }
     this.cloud.tell({ t: 'tick' });
-    const apart = this.workers.behind() ? ROUNDS_APART_BEHIND : ROUNDS_APART;
+    const apart = this.workers.isBehind() ? ROUNDS_APART_BEHIND : ROUNDS_APART;
     if (this.clock.steady() - this.roundAt >= this.roundMs * apart) this.tell({ t: 'round' });
   }
 
@@ -179,10 +174,10 @@
    * hears nothing; the machine is returned while that still helps.
    */
   private overdue(l: Live): boolean {
-    if (!l.stop || !withdrawn(l) || this.workers.ended(l)) return false;
+    if (!l.stop || !withdrawn(l) || this.workers.hasReportedEnd(l)) return false;
     const { lease_s, cancel_s } = this.ports.settings.cluster.workers;
     const age = (this.clock.wall() - (this.withdrawnAt.get(l.job) ?? l.stop.at)) / 1000;
-    return age > lease_s && (this.workers.settled() || age > cancel_s - RETURN_S);
+    return age > lease_s && (this.workers.isReconciled() || age > cancel_s - RETURN_S);
   }
 
   /** Something changed that a round could use: no need to wait for the tick. */
@@ -223,7 +218,7 @@
       if (e.e === 'hire' || e.e === 'drop') cloud = true;
     }
     if (open.length > 0) this.outstanding.set(no, open);
-    if (touched.size > 0) this.workers.tell({ t: 'push', machines: touched });
+    if (touched.size > 0) this.workers.tell({ kind: 'commandsDue', machines: touched });
     if (cloud) this.cloud.tell({ t: 'tick' });
     if (hurry) this.hurry();
   }
@@ -232,7 +227,7 @@
   private processedUpTo(): number {
     for (const [no, lives] of this.outstanding) {
       const open = lives.filter(
-        (l) => l.job.live.get(l.task) === l && (l.stop !== null || !this.workers.shown(l)),
+        (l) => l.job.live.get(l.task) === l && (l.stop !== null || !this.workers.progress.wasReported(l)),
       );
       if (open.length > 0) {
         this.outstanding.set(no, open);
@@ -248,11 +243,11 @@
   }
 
   private round(): void {
-    if (this.stopped || this.deciding || !this.lock.certain() || !this.workers.settled()) return;
+    if (this.stopped || this.deciding || !this.lock.certain() || !this.workers.isReconciled()) return;
     const { state, ports } = this;
     const from = this.clock.steady();
     const now = this.clock.wall();
-    const usable = [...state.machines.values()].filter((m) => this.workers.usable(m));
+    const usable = [...state.machines.values()].filter((m) => this.workers.intake.canTakeWork(m));
     const entries: Entry[] = this.evacuate();
     const hopeless = (j: Job): boolean => {
       const within = this.within.get(j.spec.class);
@@ -261,7 +256,7 @@
       return within !== undefined && age + j.spec.estimate * 0.7 > within && age < within * 3;
     };
     const ran = (l: Live): number | null => {
-      const at = this.workers.startedAt(l);
+      const at = this.workers.progress.startedAt(l);
       return at === null ? null : (this.clock.steady() - at) / 1000;
     };
     const order = claims(state, this.teams, hopeless, (j) => now - j.at > STARVING_MS && neverStarted(j));
@@ -275,7 +270,7 @@
       sample: SAMPLE,
       usable,
       within: (c) => this.soonest.get(c) ?? 0,
-      fetching: (l) => this.workers.fetching(l),
+      fetching: (l) => this.workers.progress.fetches(l),
       held: this.held,
       rentable: (t, z, s) => !this.cloud.backoff(t, z, s),
       most: STARTS_MOST,
@@ -295,7 +290,7 @@
     });
     entries.push(...preempted.entries);
     const up = [...state.machines.values()].filter(isUp);
-    const quiet = up.filter((m) => this.workers.silent(m) > 6).length;
+    const quiet = up.filter((m) => this.workers.intake.secondsSilent(m) > 6).length;
     const deaf = up.length >= 3 && quiet * 2 > up.length;
     const capacity: CapacityInput = {
       state,
@@ -312,7 +307,7 @@
         return r === null || l.stop ? Infinity : l.job.spec.estimate - r;
       },
       policy: ports.policy,
-      silent: (m) => this.workers.silent(m),
+      silent: (m) => this.workers.intake.secondsSilent(m),
       deaf,
       overdue: (l) => this.overdue(l),
       within: (c) => this.soonest.get(c) ?? 0,
@@ -366,7 +361,7 @@
       else if (m.live.size === 0) n.idle++;
       for (const l of m.live) {
         n.held += l.job.spec.cpus;
-        if (this.workers.startedAt(l) !== null) n.running += l.job.spec.cpus;
+        if (this.workers.progress.startedAt(l) !== null) n.running += l.job.spec.cpus;
       }
     }
     this.ports.logger.info(
@@ -399,7 +394,9 @@
     const out: Entry[] = [];
     for (const { job } of order) {
       if (!job.spec.gang || !job.broken) continue;
-      const p = [...job.live.values()].filter((l) => !l.stop && this.workers.waiting(l)).map((l) => l.task);
+      const p = [...job.live.values()]
+        .filter((l) => !l.stop && this.workers.progress.waitsForGang(l))
+        .map((l) => l.task);
       if (p.length > 0) out.push({ e: 'stop', job: job.spec.id, p, grace: 0, why: BROKEN });
     }
     return out;
@@ -410,7 +407,7 @@
     const out: Entry[] = [];
     const done = new Set<string>();
     for (const m of this.state.machines.values()) {
-      if (m.drop || this.workers.notice(m) === null) continue;
+      if (m.drop || this.workers.intake.noticeOf(m) === null) continue;
       for (const l of m.live) {
         const s = l.job.spec;
         if (l.stop || done.has(s.id) || s.checkpoint === 0) continue;
--- /dev/null
+++ b/src/actors/task-progress.ts
@@ -0,0 +1,53 @@
+/** What workers last showed each task doing, as this leader heard it. */
+import type { Job, Live, State } from '../core/state.js';
+import type { Steady, TaskState, WorkerReport } from '../core/types.js';
+import type { Clock } from '../io/clock.js';
+
+export class TaskProgress {
+  private readonly reported = new WeakMap<Live, TaskState>();
+  /** When a task was first shown running, while it is. */
+  private readonly runningSince = new WeakMap<Live, Steady>();
+
+  constructor(
+    private readonly state: State,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Notes what a report shows of tasks that the log has on that machine. */
+  note(report: WorkerReport): void {
+    for (const task of report.tasks) {
+      const live = this.state.jobs.get(task.job)?.live.get(task.task);
+      if (!live || live.attempt !== task.attempt || live.machine.id !== report.machine) continue;
+      this.reported.set(live, task.state);
+      if (task.state !== 'running' && task.state !== 'saving') this.runningSince.delete(live);
+      else if (!this.runningSince.has(live)) this.runningSince.set(live, this.clock.steady());
+    }
+  }
+
+  /** When a task was first shown running; null while it is not. */
+  startedAt(live: Live): Steady | null {
+    return this.runningSince.get(live) ?? null;
+  }
+
+  /** How many tasks of a job run. */
+  running(job: Job): number {
+    let count = 0;
+    for (const live of job.live.values()) if (this.runningSince.has(live)) count++;
+    return count;
+  }
+
+  /** Whether a task only waits for the rest of its gang. */
+  waitsForGang(live: Live): boolean {
+    return this.reported.get(live) === 'waiting';
+  }
+
+  /** Whether a task still waits for its image, as far as is known here. */
+  fetches(live: Live): boolean {
+    return (this.reported.get(live) ?? 'fetching') === 'fetching';
+  }
+
+  /** Whether the worker has shown this attempt to be known to it. */
+  wasReported(live: Live): boolean {
+    return this.reported.has(live);
+  }
+}
--- a/src/core/recovery.ts
+++ b/src/core/recovery.ts
@@ -14,17 +14,17 @@
 export const attemptKey = (job: string, task: number, attempt: number): AttemptKey =>
   `${job}/${task}#${attempt}`;
 
+/** The end of one attempt, as an entry of the log holds it. */
+export type TaskEnd = [job: JobId, task: number, attempt: number, cause: Cause, saved: boolean];
+
 /** The report's facts that the log does not hold yet. */
-export function facts(
-  state: State,
-  r: WorkerReport,
-): { up: Entry | null; ends: [JobId, number, number, Cause, boolean][] } {
+export function facts(state: State, r: WorkerReport): { up: Entry | null; ends: TaskEnd[] } {
   const m = state.machines.get(r.machine);
   const up: Entry | null =
     (!m || r.session > m.session) && !state.gone.has(r.machine)
       ? { e: 'up', m: r.machine, addr: r.addr, type: r.type, zone: r.zone, spot: r.spot, s: r.session }
       : null;
-  const ends: [JobId, number, number, Cause, boolean][] = [];
+  const ends: TaskEnd[] = [];
   for (const t of r.tasks) {
     if (t.state !== 'exited') continue;
     const l = state.jobs.get(t.job)?.live.get(t.task);
--- a/test/fakes/leading.ts
+++ b/test/fakes/leading.ts
@@ -20,17 +20,15 @@
 
 /** What a leader with a certain lock hears of its workers and tells them. */
 export const leadingWorkers = (of: Leading): WorkersActor =>
-  new WorkersActor(
-    of.state,
-    { tell: of.append ?? (() => {}) } as never,
-    of.call,
-    new NodeClock(of.time, 1, 0),
-    (of.term ?? 1) as Term,
-    REPORT_S,
-    of.mostCalls ?? 150,
-    () => true,
-    () => true,
-    () => {},
-    () => {},
-    silent,
-  );
+  new WorkersActor({
+    ...{ state: of.state, call: of.call, logger: silent },
+    log: { tell: of.append ?? (() => {}) } as never,
+    clock: new NodeClock(of.time, 1, 0),
+    term: (of.term ?? 1) as Term,
+    reportPeriodS: REPORT_S,
+    mostCalls: of.mostCalls ?? 150,
+    isCertain: () => true,
+    mayAnswerUncertain: () => true,
+    onFactWritten: () => {},
+    onHigherTerm: () => {},
+  });
--- a/test/fakes/one-worker.ts
+++ b/test/fakes/one-worker.ts
@@ -108,11 +108,12 @@
 
   /** The leader decides: written, applied, and told to the worker. */
   decide(entry: Entry): void {
-    if (entry.e === 'withdraw') this.leader.tell({ t: 'withdrawing', job: entry.job, open: true });
+    if (entry.e === 'withdraw') this.leader.tell({ kind: 'cancelling', job: entry.job, isUnderWay: true });
     this.append(this.leader, {
       entries: [entry],
       done: (ok) => {
-        if (entry.e === 'withdraw') this.leader.tell({ t: 'withdrawing', job: entry.job, open: false });
+        if (entry.e === 'withdraw')
+          this.leader.tell({ kind: 'cancelling', job: entry.job, isUnderWay: false });
         if (ok) this.push();
       },
     });
@@ -137,7 +138,7 @@
 
   /** What the leader would tell the worker now goes out directly. */
   push(): void {
-    this.leader.tell({ t: 'push', machines: [this.machine] });
+    this.leader.tell({ kind: 'commandsDue', machines: [this.machine] });
   }
 
   /** Tasks that run on the worker complete. */
@@ -182,7 +183,7 @@
 
   private tick(): void {
     this.time.after(TICK_MS, () => this.tick());
-    this.leader.tell({ t: 'tick' });
+    this.leader.tell({ kind: 'tick' });
   }
 
   /** A write takes a while; that of a leader that was deposed meanwhile is refused. */
@@ -218,7 +219,7 @@
     const report = readReport(JSON.parse(JSON.stringify(body)));
     const term = this.term as Term;
     this.leader.tell({
-      t: 'report',
+      kind: 'report',
       report: report!,
       reply: (answer) =>
         resolve(
--- a/test/workers.test.ts
+++ b/test/workers.test.ts
@@ -58,10 +58,10 @@
 describe('direct calls', () => {
   it('are bounded when a record touches every machine, and none is forgotten', async () => {
     const { time, state, ids, calls, workers, report } = site();
-    for (const m of ids) workers.tell({ t: 'report', report: report(m, 1), reply: () => {} });
+    for (const m of ids) workers.tell({ kind: 'report', report: report(m, 1), reply: () => {} });
     write(state, [{ e: 'job', spec: { id: 'wk-1', tasks: MACHINES, cpus: 1, gpus: 0, mem: 1 } as never }]);
     write(state, [{ e: 'start', job: 'wk-1' as never, p: ids.map((m, i) => [i, 1, m]) }]);
-    workers.tell({ t: 'push', machines: ids });
+    workers.tell({ kind: 'commandsDue', machines: ids });
     await time.run(1000);
     expect(calls.most).toBe(MOST);
     expect(calls.reached.size).toBe(MACHINES);
@@ -71,7 +71,7 @@
     const { time, calls, workers } = site();
     for (let s = 0; s < 5; s++) {
       await time.run(1000);
-      workers.tell({ t: 'tick' });
+      workers.tell({ kind: 'tick' });
     }
     expect(calls.open).toBe(MOST);
   });
@@ -81,28 +81,28 @@
   it('leaves direct calls out, but not the stops of cancelled jobs; reports bring the rest', async () => {
     const { time, state, ids, calls, workers, report } = site();
     const [first, second] = ids as [MachineId, MachineId];
-    for (const m of ids) workers.tell({ t: 'report', report: report(m, 1), reply: () => {} });
+    for (const m of ids) workers.tell({ kind: 'report', report: report(m, 1), reply: () => {} });
     for (const late of [0, 1000, 1600]) {
       await time.run(late);
-      workers.tell({ t: 'tick' });
+      workers.tell({ kind: 'tick' });
     }
     for (const id of ['wk-1', 'wk-2'])
       write(state, [{ e: 'job', spec: { id, tasks: 1, cpus: 1, gpus: 0, mem: 1 } as never }]);
     write(state, [{ e: 'start', job: 'wk-1' as never, p: [[0, 1, first]] }]);
     write(state, [{ e: 'start', job: 'wk-2' as never, p: [[0, 1, second]] }]);
     write(state, [{ e: 'withdraw', job: 'wk-2' as never }]);
-    workers.tell({ t: 'push', machines: [first, second] });
+    workers.tell({ kind: 'commandsDue', machines: [first, second] });
     expect([...calls.reached.keys()]).toEqual([`${second}:1`]);
     const started: string[] = [];
     const reply = (a: { orders: { op: string }[] } | null): void =>
       void started.push(...a!.orders.map((o) => o.op));
-    workers.tell({ t: 'report', report: report(first, 2), reply });
+    workers.tell({ kind: 'report', report: report(first, 2), reply });
     expect(started).toEqual(['start']);
     for (let second = 0; second < 3; second++) {
       await time.run(1000);
-      workers.tell({ t: 'tick' });
+      workers.tell({ kind: 'tick' });
     }
-    workers.tell({ t: 'push', machines: [first] });
+    workers.tell({ kind: 'commandsDue', machines: [first] });
     expect(calls.reached.has(`${first}:1`)).toBe(true);
   });
 });
@@ -121,7 +121,7 @@
     const answerTo = (seq: number): string[] => {
       let ops: string[] = [];
       const reply = (a: { orders: { op: string }[] } | null): void => void (ops = a!.orders.map((o) => o.op));
-      workers.tell({ t: 'report', report: { ...first, seq } as never, reply });
+      workers.tell({ kind: 'report', report: { ...first, seq } as never, reply });
       return ops;
     };
     for (const seq of [1, 2, 3]) {
@@ -131,7 +131,7 @@
     const machine = state.machines.get(id)!;
     expect(answerTo(4)).toEqual([]);
     await time.run(1000);
-    expect(workers.silent(machine)).toBeLessThan(2);
+    expect(workers.intake.secondsSilent(machine)).toBeLessThan(2);
     write(state, [{ e: 'start', job: 'wk-1' as never, p: [[0, 1, id]] }]);
     expect(answerTo(5)).toEqual(['start']);
     write(state, [{ e: 'withdraw', job: 'wk-1' as never }]);
@@ -140,10 +140,10 @@
     // A copy that is late proves nothing.
     for (let second = 0; second < 20; second++) {
       await time.run(1000);
-      workers.tell({ t: 'tick' });
+      workers.tell({ kind: 'tick' });
     }
     answerTo(5);
-    expect(workers.silent(machine)).toBeGreaterThan(15);
+    expect(workers.intake.secondsSilent(machine)).toBeGreaterThan(15);
   });
 });
 
@@ -168,9 +168,9 @@
       ...{ tally: ++seq, warrant, recall_s: null, shifts: [] },
     });
     const report = (stint = 1): void =>
-      workers.tell({ t: 'report', report: readReport(wire(2 ** 20, stint))!, reply: () => {} });
+      workers.tell({ kind: 'report', report: readReport(wire(2 ** 20, stint))!, reply: () => {} });
     const push = async (): Promise<void> => {
-      workers.tell({ t: 'push', machines: [m] });
+      workers.tell({ kind: 'commandsDue', machines: [m] });
       await time.run(100);
     };
     const up = (s: number): Entry => ({
@@ -181,7 +181,7 @@
     report();
     for (let i = 0; i < 6; i++) {
       await time.run(1000);
-      workers.tell({ t: 'tick' });
+      workers.tell({ kind: 'tick' });
     }
     const start = (attempt: number): Entry => ({ e: 'start', job: 'wk-1' as never, p: [[0, attempt, m]] });
     write(state, [start(1)]);
@@ -191,7 +191,7 @@
   it('is made void by a higher fence when its job is withdrawn, and is not sent meanwhile', async () => {
     const { state, workers, sent, told, answer, wire, push } = await one();
     const withdrawing = (open: boolean): void =>
-      workers.tell({ t: 'withdrawing', job: 'wk-1' as never, open });
+      workers.tell({ kind: 'cancelling', job: 'wk-1' as never, isUnderWay: open });
     withdrawing(true);
     await push();
     expect(sent).toEqual([]);
@@ -224,14 +224,14 @@
   it('is no silence of machines, and what queued meanwhile is no sign of life', async () => {
     const { time, state, ids, workers, report } = site();
     const m = state.machines.get(ids[0]!)!;
-    workers.tell({ t: 'report', report: report(m.id, 1), reply: () => {} });
-    expect(workers.usable(m)).toBe(true);
+    workers.tell({ kind: 'report', report: report(m.id, 1), reply: () => {} });
+    expect(workers.intake.canTakeWork(m)).toBe(true);
     await time.run(22_000);
-    workers.tell({ t: 'report', report: report(m.id, 2), reply: () => {} });
-    expect(workers.silent(m)).toBeLessThan(0);
-    expect(workers.usable(m)).toBe(false);
+    workers.tell({ kind: 'report', report: report(m.id, 2), reply: () => {} });
+    expect(workers.intake.secondsSilent(m)).toBeLessThan(0);
+    expect(workers.intake.canTakeWork(m)).toBe(false);
     await time.run(1000);
-    workers.tell({ t: 'report', report: report(m.id, 3), reply: () => {} });
-    expect(workers.usable(m)).toBe(true);
+    workers.tell({ kind: 'report', report: report(m.id, 3), reply: () => {} });
+    expect(workers.intake.canTakeWork(m)).toBe(true);
   });
 });
