Calls given up and not yet void are counted; logs say who leads and what was read

Need: the incident's logs could not tell which copies of a start were on their way, nor when. Measured: a test holds the figures through two given-up calls and a silent worker.

--- a/src/actors/cloud.ts
+++ b/src/actors/cloud.ts
@@ -119,6 +119,7 @@
         for (const id of due) this.returning.delete(id);
         return this.trouble();
       }
+      this.logger.debug({ machines: due }, 'returned');
       // The answer is the sure fence: the machines and all that was on them are gone.
       for (const m of chunked(due, 50))
         this.log.tell({
--- a/src/actors/controller.ts
+++ b/src/actors/controller.ts
@@ -15,6 +15,7 @@
 import { LeaderActor, type LeaderPorts } from './leader.js';
 import { DRIFT, Lock } from './lock.js';
 import { SingleFlight } from './single-flight.js';
+import type { WorkerFigures } from './workers.js';
 
 /** The shortest lease of the leader key. */
 const LOCK_MS = 2500;
@@ -83,6 +84,7 @@
       leader: (v) => {
         this.leader = v;
         if (v) this.ledTerm = Math.max(this.ledTerm, v.term);
+        logger.info({ leader: v?.node ?? null, term: v?.term, run: v?.run }, 'leader key read');
       },
       term: (t) => {
         this.remembers = -Infinity as Steady;
@@ -179,7 +181,8 @@
       () => this.holds(),
     );
     this.ports.measure('take_over', clock.steady() - from);
-    logger.info({ term: held.term, next: this.follower.state.next }, 'leading');
+    const { term, stamp } = held;
+    logger.info({ term, run: this.run, revision: stamp, next: this.follower.state.next }, 'leading');
   }
 
   private stepDown(why: string): void {
@@ -228,6 +231,11 @@
     return this.follower.state.next;
   }
 
+  /** Figures of the calls to workers, while this node leads; empty otherwise. */
+  leaderFigures(): Partial<WorkerFigures> {
+    return this.leading?.workers.figures() ?? {};
+  }
+
   /** What this node would fold now. */
   dump(): unknown {
     return this.follower.state.dump();
--- a/src/actors/follower.ts
+++ b/src/actors/follower.ts
@@ -82,6 +82,7 @@
       }
       this.lastAnswer = this.clock.steady();
       this.revision = w.revision;
+      this.log.debug({ revision: w.revision, changes: w.changes.length }, 'state service read');
       let deposed = false;
       for (const c of w.changes) {
         if (c.key === LEADER) {
--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -374,6 +374,7 @@
         worstMs: this.worst,
         writeMs: Math.round(this.log.writes.ms / Math.max(1, this.log.writes.count)),
         ends: this.ends,
+        calls: this.workers.figures(),
       },
       'pulse',
     );
--- a/src/actors/lock.ts
+++ b/src/actors/lock.ts
@@ -108,7 +108,9 @@
         open--;
         if (this.held !== mine) return;
         if (r === 'ok') this.until = Math.max(this.until, sent + this.ttl * (1 - DRIFT));
-        else if (r === 'ended') this.lose('the lease ended');
+        else
+          this.log.debug({ term: mine?.term, answer: r, sentMsAgo: this.clock.steady() - sent }, 'renewal');
+        if (r === 'ended') this.lose('the lease ended');
       });
     };
     this.stopRenewing = this.clock.after(every, tick);
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -73,7 +73,12 @@
   );
   const http = server(
     controller,
-    () => ({ ...controller.status(), ...metrics.show(), process: processFigures() }),
+    () => ({
+      ...controller.status(),
+      ...controller.leaderFigures(),
+      ...metrics.show(),
+      process: processFigures(),
+    }),
     logger,
     metrics.measure,
   );
--- a/src/io/server.ts
+++ b/src/io/server.ts
@@ -103,7 +103,10 @@
   app.post('/v1/jobs/:id/withdraw', (req, res) => {
     const id = req.params.id;
     if (!jobIdForm.test(id)) return send(res, noSuchJob);
-    void c.user({ kind: 'withdraw', job: id as JobId }).then((r) => send(res, r));
+    void c.user({ kind: 'withdraw', job: id as JobId }).then((r) => {
+      logger.debug({ job: id, status: r.status, why: r.body }, 'cancellation');
+      send(res, r);
+    });
   });
   app.get('/metrics', (_req, res) => json(res, 200, metrics()));
   app.use((_req, res) => json(res, 404, { error: 'no such path' }));
--- a/test/direct-calls.test.ts
+++ b/test/direct-calls.test.ts
@@ -139,6 +139,23 @@
   return { w, id: job.name_id };
 }
 
+describe('the figures for operators', () => {
+  it('count calls that were given up until they are void', async () => {
+    const one = await OneWorker.begun();
+    await copiesOfOneStart(one, [held(30), held(30), answered]);
+    expect(one.figures()).toMatchObject({ directCalls: { sent: 3, answered: 1, givenUp: 2, open: 0 } });
+    // The answer to the third, under a higher fence, made both void at once.
+    expect(one.figures()).toMatchObject({ unsettledCalls: 0, fencesRaised: 2 });
+    one.fates = [held(30)];
+    one.silence(6000);
+    one.start();
+    await one.time.run(3000);
+    expect(one.figures()).toMatchObject({ unsettledCalls: 1, fencesRaised: 3 });
+    await one.time.run(10_000);
+    expect(one.figures()).toMatchObject({ unsettledCalls: 0 });
+  });
+});
+
 describe('a whole service whose calls are held up for a minute', () => {
   it('runs nothing of a job after its cancellation', async () => {
     const { w, id } = await heldUpStarts(250);
--- a/test/fakes/one-worker.ts
+++ b/test/fakes/one-worker.ts
@@ -1,5 +1,5 @@
 import type { Append } from '../../src/actors/log.js';
-import type { WorkersActor } from '../../src/actors/workers.js';
+import type { WorkerFigures, WorkersActor } from '../../src/actors/workers.js';
 import { State } from '../../src/core/state.js';
 import type { Entry, JobId, MachineId, Term } from '../../src/core/types.js';
 import type { HttpAnswer, HttpCall } from '../../src/io/http-client.js';
@@ -170,6 +170,10 @@
     this.worker.hang(ms);
   }
 
+  figures(): WorkerFigures {
+    return this.leader.figures();
+  }
+
   private lead(): WorkersActor {
     const leader: WorkersActor = leadingWorkers({
       state: this.state,
