The profile reaches 4,000 machines: the stand-ins stood in the way, not the service

Cause: at 4,000 machines the tool printed nothing, since its stand-ins used a whole core and their workers' leases ran out. Profiled: 57% in the checker, which looked at all tasks of the site at each start; then 70% in the virtual time's sorted list. A call of 58 s among 4,000 real sockets is not brought about: the in-memory network delays whole requests, not TCP segments.

--- a/test/fakes/checker.ts
+++ b/test/fakes/checker.ts
@@ -64,8 +64,10 @@
   private readonly asked = new Set<string>();
   private readonly cancelled = new Map<string, number>();
   private readonly done = new Map<string, Set<number>>();
-  /** job/task -> machines that hold it */
-  private readonly present = new Map<string, Map<string, Place>>();
+  /** By job and then by job/task: the machines that hold it. */
+  private readonly present = new Map<string, Map<string, Map<string, Place>>>();
+  /** CPUs that each team's tasks hold. */
+  private readonly cpusUsed = new Map<string, number>();
 
   constructor(
     private readonly now: () => number,
@@ -98,33 +100,52 @@
     this.starts++;
     this.startsOf.set(id, this.started(id) + 1);
     const key = `${id}/${task}`;
-    const at = this.present.get(key) ?? new Map<string, Place>();
-    this.present.set(key, at);
-    if ([...at.keys()].some((x) => x !== m.id))
-      this.say('ran_twice', `${key} on ${m.id} and ${[...at.keys()].join()}`);
-    at.set(m.id, m);
+    const others = [...(this.placesOf(id, key)?.keys() ?? [])].filter((machine) => machine !== m.id);
+    if (others.length > 0) this.say('ran_twice', `${key} on ${m.id} and ${others.join()}`);
+    this.enter(id, key, m);
     const j = this.jobs.get(id);
     if (!j) return this.say('invented', `${key} runs and nobody submitted it`);
     const bad =
       (j.breeds && !j.breeds.includes(m.type)) || (j.yard && j.yard !== m.zone) || (!j.loaners && m.spot);
     const zones = new Map<string, number>();
-    for (const [k, ms] of this.present)
-      if (k.startsWith(`${id}/`))
-        for (const p of ms.values()) zones.set(p.zone, (zones.get(p.zone) ?? 0) + 1);
+    if (j.together || j.spread)
+      for (const places of this.present.get(id)!.values())
+        for (const p of places.values()) zones.set(p.zone, (zones.get(p.zone) ?? 0) + 1);
     const apart = j.together && zones.size > 1;
     const crowded = j.spread && Math.max(...zones.values()) > Math.ceil(j.shifts / 2);
     if (bad || apart || crowded) this.say('wrong_place', `${key} on ${m.id}`);
     const team = this.teams.find((t) => t.name === j.desk);
-    let use = 0;
-    for (const [k, ms] of this.present) {
-      const o = this.jobs.get(k.slice(0, k.lastIndexOf('/')));
-      if (o?.desk === j.desk) use += o.cpus * ms.size;
-    }
+    const use = this.cpusUsed.get(j.desk)!;
     if (team && use > team.cpusMax + 1e-6) this.say('quota', `${j.desk} uses ${use}`);
     if (this.cancelled.has(id)) this.lateStarts.push(key);
     this.checkCancelled(key, id);
   }
 
+  private placesOf(id: string, key: string): Map<string, Place> | undefined {
+    return this.present.get(id)?.get(key);
+  }
+
+  private use(id: string, times: 1 | -1): void {
+    const job = this.jobs.get(id);
+    if (job) this.cpusUsed.set(job.desk, (this.cpusUsed.get(job.desk) ?? 0) + times * job.cpus);
+  }
+
+  private enter(id: string, key: string, m: Place): void {
+    const tasks = this.present.get(id) ?? new Map<string, Map<string, Place>>();
+    this.present.set(id, tasks);
+    const places = tasks.get(key) ?? new Map<string, Place>();
+    tasks.set(key, places);
+    if (!places.has(m.id)) this.use(id, 1);
+    places.set(m.id, m);
+  }
+
+  private leave(id: string, key: string, m: Place): void {
+    const places = this.placesOf(id, key);
+    if (!places?.delete(m.id)) return;
+    this.use(id, -1);
+    if (places.size === 0) this.present.get(id)!.delete(key);
+  }
+
   private checkCancelled(key: string, id: string): void {
     const c = this.cancelled.get(id);
     if (c !== undefined && this.now() > c + this.cancelMs) this.say('ran_cancelled', key);
@@ -133,7 +154,7 @@
   end(id: string, task: number, m: Place, done: boolean): void {
     const key = `${id}/${task}`;
     this.checkCancelled(key, id);
-    this.present.get(key)?.delete(m.id);
+    this.leave(id, key, m);
     if (!done) return;
     const d = this.done.get(id) ?? new Set<number>();
     this.done.set(id, d.add(task));
@@ -195,23 +216,18 @@
     failing: (id: string) => boolean = () => false,
     mostMs = 90_000,
   ): void {
-    const used = new Map<string, number>();
-    for (const [k, ms] of this.present) {
-      const o = this.jobs.get(k.slice(0, k.lastIndexOf('/')));
-      if (o && ms.size > 0) used.set(o.desk, (used.get(o.desk) ?? 0) + o.cpus * ms.size);
-    }
     const waitsNow = (id: string): boolean => {
       if (this.told.get(id) !== 'accepted' || this.asked.has(id) || failing(id)) return false;
       const j = this.jobs.get(id)!;
       const need = j.shape === 'ensemble' ? j.shifts : 1;
       const most = this.teams.find((t) => t.name === j.desk)!.cpusMax;
-      if ((used.get(j.desk) ?? 0) + j.cpus * need > most) return false;
+      if ((this.cpusUsed.get(j.desk) ?? 0) + j.cpus * need > most) return false;
       const free = machines.filter((m) => this.allowed(j, m.place) && m.cpus >= j.cpus && m.mem >= j.mem_gb);
       const zones = new Set(free.map((m) => m.place.zone));
       if (![...zones].some((z) => free.filter((m) => m.place.zone === z).length >= need)) return false;
       const done = this.done.get(id);
       for (let i = 0; i < j.shifts; i++)
-        if (!done?.has(i) && (this.present.get(`${id}/${i}`)?.size ?? 0) === 0) return true;
+        if (!done?.has(i) && (this.placesOf(id, `${id}/${i}`)?.size ?? 0) === 0) return true;
       return false;
     };
     for (const id of this.told.keys())
@@ -224,8 +240,7 @@
 
   /** At the end of a story: what is still on machines that should not be. */
   finish(): void {
-    for (const [key, ms] of this.present)
-      if (ms.size > 0) this.checkCancelled(key, key.slice(0, key.lastIndexOf('/')));
+    for (const [id, tasks] of this.present) for (const key of tasks.keys()) this.checkCancelled(key, id);
     if (this.starts === 0) this.say('nothing_ran', 'no task was started');
   }
 
--- a/test/fakes/clock.ts
+++ b/test/fakes/clock.ts
@@ -1,42 +1,46 @@
+import TinyQueue from 'tinyqueue';
 import type { Steady, Wall } from '../../src/core/types.js';
 import type { Cancel, Clock } from '../../src/io/clock.js';
 
 const quiet = (): Promise<void> => new Promise((ok) => setImmediate(ok));
 
+interface Timer {
+  at: number;
+  /** Timers of the same instant run in the order in which they were set. */
+  seq: number;
+  /** null: cancelled. */
+  run: (() => void) | null;
+}
+
 /** Time that passes only when a story says so. */
 export class VirtualTime {
   now = 0;
   private seq = 0;
-  private timers: { at: number; seq: number; run: () => void }[] = [];
+  private readonly timers = new TinyQueue<Timer>([], (a, b) => a.at - b.at || a.seq - b.seq);
 
   after(ms: number, run: () => void): Cancel {
-    const t = { at: this.now + Math.max(0, ms), seq: this.seq++, run };
-    let lo = 0;
-    let hi = this.timers.length;
-    while (lo < hi) {
-      const mid = (lo + hi) >> 1;
-      const m = this.timers[mid]!;
-      if (m.at < t.at || (m.at === t.at && m.seq < t.seq)) lo = mid + 1;
-      else hi = mid;
-    }
-    this.timers.splice(lo, 0, t);
-    return () => {
-      const i = this.timers.indexOf(t);
-      if (i >= 0) this.timers.splice(i, 1);
-    };
+    const timer: Timer = { at: this.now + Math.max(0, ms), seq: this.seq++, run };
+    this.timers.push(timer);
+    return () => (timer.run = null);
+  }
+
+  /** The next timer that was not cancelled. */
+  private next(): Timer | undefined {
+    while (this.timers.peek()?.run === null) this.timers.pop();
+    return this.timers.peek();
   }
 
   async run(ms: number): Promise<void> {
     const end = this.now + ms;
     await quiet();
     for (;;) {
-      const t = this.timers[0];
-      if (!t || t.at > end) break;
-      this.timers.shift();
-      this.now = t.at;
-      t.run();
+      const timer = this.next();
+      if (!timer || timer.at > end) break;
+      this.timers.pop();
+      this.now = timer.at;
+      timer.run?.();
       // Timers of the same instant run together; promises settle before time moves on.
-      if (this.timers[0]?.at !== this.now) await quiet();
+      if (this.next()?.at !== this.now) await quiet();
     }
     this.now = end;
   }
--- a/test/fakes/worker.ts
+++ b/test/fakes/worker.ts
@@ -13,6 +13,9 @@
   version: number;
 }
 
+/** A lease is not looked at more often. */
+const LEASE_CHECK_MS = 100;
+
 interface Order {
   verb: string;
   shift: string;
@@ -90,8 +93,10 @@
       this.nextSession();
   }
 
+  /** Looks when the lease would be over, and again when it was renewed meanwhile. */
   private leaseWatch(): void {
-    this.w.time.after(100, () =>
+    const left = (this.lastAnswered ?? this.began) + this.w.settings.lease_s * 1000 - this.w.time.now;
+    this.w.time.after(Math.max(LEASE_CHECK_MS, left + 1), () =>
       this.awake(() => {
         this.checkLease();
         if (this.alive) this.leaseWatch();
--- a/tools/profile/main.ts
+++ b/tools/profile/main.ts
@@ -24,6 +24,12 @@
 const CPUS_PER_MACHINE = 16;
 const QUESTION_EVERY_MS = 5000;
 const FUNCTIONS_SHOWN = 45;
+/** Sampling begins when so much of all machines is held by tasks, and so long after. */
+const FILLED_SHARE = 0.8;
+const SETTLE_MS = 5000;
+const PROGRESS_MS = 10_000;
+/** A process that used more of a core than this ran short of it. */
+const SHORT_PERCENT = 70;
 
 interface Usage {
   processorMicroseconds: { user: number; system: number };
@@ -47,6 +53,7 @@
     seconds: { type: 'string', default: '30' },
     program: { type: 'string', default: 'target/main.js' },
     'task-s': { type: 'string', default: '100' },
+    'fill-s': { type: 'string', default: '150' },
     functions: { type: 'boolean', default: false },
   },
 });
@@ -158,6 +165,41 @@
   if (options.functions) table('by function', timeByFunction(profile).slice(0, FUNCTIONS_SHOWN), seconds);
 }
 
+/** Processor milliseconds that a controller has used since its start. */
+async function processorMsOf(index: number): Promise<number> {
+  const { process: figures } = (await metricsOf(index)) as {
+    process?: { processorMs: { user: number; system: number } };
+  };
+  return figures ? figures.processorMs.user + figures.processorMs.system : 0;
+}
+
+/** Waits until the machines are full. Throws an Error that says what ran short when that takes too long. */
+async function fill(standIns: StandIns, leading: number): Promise<void> {
+  const wanted = size.machines * CPUS_PER_MACHINE * FILLED_SHARE;
+  const began = performance.now();
+  const standInsBegan = process.cpuUsage();
+  const leaderBegan = await processorMsOf(leading);
+  for (let shownAt = began; standIns.cpusHeld() < wanted; await sleep(500)) {
+    const now = performance.now();
+    const progress = `${standIns.workers.size} of ${size.machines} workers up, ${standIns.cpusHeld()} of ${wanted} CPUs held`;
+    if (now - shownAt > PROGRESS_MS) {
+      process.stderr.write(`${Math.round((now - began) / 1000)} s: ${progress}\n`);
+      shownAt = now;
+    }
+    if (now - began < Number(options['fill-s']) * 1000) continue;
+    const standInsUsed = process.cpuUsage(standInsBegan);
+    const percent = (ms: number): number => Math.round((ms / (now - began)) * 100);
+    const standIn = percent((standInsUsed.user + standInsUsed.system) / 1000);
+    const ofLeader = percent((await processorMsOf(leading)) - leaderBegan);
+    const short =
+      standIn > SHORT_PERCENT ? 'the stand-ins' : ofLeader > SHORT_PERCENT ? 'the leader' : 'neither';
+    throw new Error(
+      `not full after ${options['fill-s']} s: ${progress}; of a core the stand-ins used ${standIn}%, ` +
+        `the leader ${ofLeader}%: ${short} ran short of processor time (--fill-s waits longer)`,
+    );
+  }
+}
+
 async function measure(directory: string): Promise<void> {
   const standIns = new StandIns(size);
   const nodes = NODES.map((index) => startNode(directory, index));
@@ -165,9 +207,8 @@
   try {
     const leading = await leader();
     void users(standIns, () => running);
-    const full = size.machines * CPUS_PER_MACHINE * 0.8;
-    while (standIns.cpusHeld() < full) await sleep(500);
-    await sleep(5000);
+    await fill(standIns, leading);
+    await sleep(SETTLE_MS);
     for (const node of nodes) node.kill('SIGUSR2');
     await sleep(Number(options.seconds) * 1000);
     for (const node of nodes) node.kill('SIGUSR2');
@@ -191,9 +232,13 @@
 }
 
 const directory = mkdtempSync(join(tmpdir(), 'quillhead-profile-'));
+let failed = false;
 try {
   await measure(directory);
+} catch (error) {
+  failed = true;
+  process.stderr.write(`profile: ${error instanceof Error ? error.message : String(error)}\n`);
 } finally {
   rmSync(directory, { recursive: true });
 }
-process.exit(0);
+process.exit(failed ? 1 : 0);
