--- /dev/null
+++ b/src/actors/acknowledgements.ts
@@ -0,0 +1,33 @@
+/** Which records' commands the workers' reports show to be carried out, oldest first (Ravana's "event processed"). */
+import type { Live } from '../core/state.js';
+import type { RecordNo } from '../core/types.js';
+
+export class Acknowledgements {
+  /** Records whose starts and stops no report has shown yet. */
+  private readonly outstanding = new Map<RecordNo, Live[]>();
+
+  constructor(private readonly wasReported: (live: Live) => boolean) {}
+
+  /** A record was written whose commands concern these tasks. */
+  written(record: RecordNo, lives: Live[]): void {
+    if (lives.length > 0) this.outstanding.set(record, lives);
+  }
+
+  /** The last record up to which all commands were shown; `next` is the number of the next record. */
+  processedUpTo(next: RecordNo): number {
+    for (const [record, lives] of this.outstanding) {
+      const open = lives.filter((live) => this.isOpen(live));
+      if (open.length > 0) {
+        this.outstanding.set(record, open);
+        return record - 1;
+      }
+      this.outstanding.delete(record);
+    }
+    return next - 1;
+  }
+
+  private isOpen(live: Live): boolean {
+    if (live.job.live.get(live.task) !== live) return false;
+    return live.stop !== null || !this.wasReported(live);
+  }
+}
--- a/src/actors/controller.ts
+++ b/src/actors/controller.ts
@@ -170,16 +170,12 @@
     if (this.lock.holding?.term !== held.term) return;
     this.leader = { node: this.ports.settings.node, term: held.term, run: this.run };
     this.ledTerm = held.term;
-    this.leading = new LeaderActor(
-      this.ports,
-      this.follower.state,
-      this.lock,
-      held,
-      this.follower.head,
-      (why) => this.lock.lose(why),
-      (term) => this.higher(term),
-      () => this.holds(),
-    );
+    this.leading = new LeaderActor({
+      ...{ ports: this.ports, state: this.follower.state, lock: this.lock, held, head: this.follower.head },
+      onDeposed: (why) => this.lock.lose(why),
+      onHigherTerm: (term) => this.higher(term),
+      mayAnswerUncertain: () => this.holds(),
+    });
     this.ports.measure('take_over', clock.steady() - from);
     const { term, stamp } = held;
     logger.info({ term, run: this.run, revision: stamp, next: this.follower.state.next }, 'leading');
