--- a/src/actors/acknowledgements.ts
+++ b/src/actors/acknowledgements.ts
@@ -1,5 +1,5 @@
 /** Which records' commands the workers' reports show to be carried out, oldest first (Ravana's "event processed"). */
-import type { Live } from '../core/state.js';
+import type { Live } from '../core/model.js';
 import type { RecordNo } from '../core/types.js';
 
 export class Acknowledgements {
--- a/src/actors/admission.ts
+++ b/src/actors/admission.ts
@@ -1,4 +1,6 @@
-import { refuse, type Job, type State } from '../core/state.js';
+import { refuse } from '../core/fit.js';
+import type { Job } from '../core/model.js';
+import type { State } from '../core/state.js';
 import type { Entry, JobId, JobSpec, Team } from '../core/types.js';
 import type { Clock } from '../io/clock.js';
 import { writeStanding, type Standing } from '../wire/schemas.js';
--- a/src/actors/cloud.ts
+++ b/src/actors/cloud.ts
@@ -1,5 +1,6 @@
 import { chunked } from '../core/chunked.js';
-import type { Machine, State } from '../core/state.js';
+import type { Machine } from '../core/model.js';
+import type { State } from '../core/state.js';
 import type { MachineId, MachineType, Steady } from '../core/types.js';
 import type { Clock } from '../io/clock.js';
 import type { Logger } from '../io/logger.js';
--- a/src/actors/controller.ts
+++ b/src/actors/controller.ts
@@ -1,3 +1,4 @@
+import { dumpState } from '../core/state-dump.js';
 import type { Command, Fence, JobId, JobSpec, Steady, Term, WorkerReport } from '../core/types.js';
 import type { Peers, PeerAnswer, PeerAsk, PeerStatus } from '../io/peers.js';
 import { sleep } from '../io/clock.js';
@@ -234,7 +235,7 @@
 
   /** What this node would fold now. */
   dump(): unknown {
-    return this.follower.state.dump();
+    return dumpState(this.follower.state);
   }
 
   status(): PeerStatus {
--- a/src/actors/first-reports.ts
+++ b/src/actors/first-reports.ts
@@ -2,7 +2,8 @@
  * Whether a new leader knows what runs: each live worker has reported under its term, or one report period has
  * passed. The same holds after a standstill of the node.
  */
-import { isUp, type Machine, type State } from '../core/state.js';
+import { isUp, type Machine } from '../core/model.js';
+import type { State } from '../core/state.js';
 import type { MachineId, Steady } from '../core/types.js';
 import type { Clock } from '../io/clock.js';
 import type { NodePace } from './node-pace.js';
--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -1,8 +1,9 @@
 /** One term of leading: the log's writer, what was heard and is told, and the rounds that decide what runs where. */
-import type { Random } from '../core/placement.js';
+import type { Random } from '../core/fill.js';
 import type { Policy } from '../core/policy.js';
 import { withdrawn } from '../core/recovery.js';
-import type { Job, Live, State } from '../core/state.js';
+import type { Job, Live } from '../core/model.js';
+import type { State } from '../core/state.js';
 import type { Entry, LogRecord, MachineId, RecordNo, Term, Wall } from '../core/types.js';
 import type { Cancel, Clock } from '../io/clock.js';
 import type { HttpCall } from '../io/http-client.js';
--- a/src/actors/pending-facts.ts
+++ b/src/actors/pending-facts.ts
@@ -1,6 +1,7 @@
 /** Facts of reports on their way into the log: each is told once until its write is settled. */
 import { attemptKey, facts, type TaskEnd } from '../core/recovery.js';
-import type { Live, State } from '../core/state.js';
+import type { Live } from '../core/model.js';
+import type { State } from '../core/state.js';
 import type { Entry, WorkerReport } from '../core/types.js';
 import type { LogActor } from './log.js';
 
--- a/src/actors/report-intake.ts
+++ b/src/actors/report-intake.ts
@@ -2,7 +2,8 @@
  * What this leader heard of its workers: takes each report once, judges what it proves, and passes its facts on to
  * the log.
  */
-import { isUp, type Machine, type State } from '../core/state.js';
+import { isUp, type Machine } from '../core/model.js';
+import type { State } from '../core/state.js';
 import type { MachineId, Term, WorkerReport } from '../core/types.js';
 import type { Clock } from '../io/clock.js';
 import type { NodePace } from './node-pace.js';
--- a/src/actors/round.ts
+++ b/src/actors/round.ts
@@ -4,10 +4,13 @@
  */
 import { giveBack, rent, type CapacityInput } from '../core/capacity.js';
 import { stopsForNotices, stopsOfBrokenGangs } from '../core/orderly-stops.js';
-import { claims, place, type PlacementResult, type Random } from '../core/placement.js';
+import { claims } from '../core/claims.js';
+import type { Random } from '../core/fill.js';
+import { place, type PlacementResult } from '../core/placement.js';
 import type { Policy } from '../core/policy.js';
 import { preempt, type PreemptionResult } from '../core/preemption.js';
-import { isUp, type Job, type Live, type Machine, type State } from '../core/state.js';
+import { isUp, type Job, type Live, type Machine } from '../core/model.js';
+import type { State } from '../core/state.js';
 import { rank, type Entry, type Team, type Wall } from '../core/types.js';
 import type { Clock } from '../io/clock.js';
 import { teamsOf, type Settings } from '../wire/settings.js';
--- a/src/actors/snapshot.ts
+++ b/src/actors/snapshot.ts
@@ -1,6 +1,7 @@
 import { inflateSync } from 'node:zlib';
 import { chunked } from '../core/chunked.js';
-import { State } from '../core/state.js';
+import { loadState } from '../core/state-dump.js';
+import type { State } from '../core/state.js';
 import { chunkKey, type HeadValue } from '../wire/keys.js';
 
 /** Packs a text off the thread that renews the lock. */
@@ -52,5 +53,5 @@
     if (typeof c !== 'string') return null;
     parts.push(c);
   }
-  return State.load(fromLines(inflateSync(Buffer.from(parts.join(''), 'base64')).toString()));
+  return loadState(fromLines(inflateSync(Buffer.from(parts.join(''), 'base64')).toString()));
 }
--- a/src/actors/snapshotter.ts
+++ b/src/actors/snapshotter.ts
@@ -3,6 +3,7 @@
  * and of the head's revision, within what the log leaves of the write rate.
  */
 import { chunked } from '../core/chunked.js';
+import { dumpState } from '../core/state-dump.js';
 import type { State } from '../core/state.js';
 import { sleep, type Clock } from '../io/clock.js';
 import type { Logger } from '../io/logger.js';
@@ -63,7 +64,7 @@
     const { clock, deflate, limits, logger, state } = this.options;
     const upto = state.next - 1;
     const from = clock.steady();
-    const dump = state.dump();
+    const dump = dumpState(state);
     this.options.onCopied(clock.steady() - from);
     const text = await lines(dump, () => sleep(clock, PAUSE_MS));
     const chunks = await pack(text, Math.floor(limits.value_kb * 1024 - VALUE_FRAME_BYTES), deflate);
--- a/src/actors/task-progress.ts
+++ b/src/actors/task-progress.ts
@@ -1,5 +1,6 @@
 /** What workers last showed each task doing, as this leader heard it. */
-import type { Job, Live, State } from '../core/state.js';
+import type { Job, Live } from '../core/model.js';
+import type { State } from '../core/state.js';
 import type { Steady, TaskState, WorkerReport } from '../core/types.js';
 import type { Clock } from '../io/clock.js';
 
--- a/src/actors/workers.ts
+++ b/src/actors/workers.ts
@@ -3,7 +3,8 @@
  * worker's own last report; they travel in the answer to its next report, and in a direct call before that.
  */
 import { attemptKey, commands, holdsWithdrawn, stopsOfWithdrawn } from '../core/recovery.js';
-import { isUp, type Job, type Live, type Machine, type State } from '../core/state.js';
+import { isUp, type Job, type Live, type Machine } from '../core/model.js';
+import type { State } from '../core/state.js';
 import type { Command, Fence, JobId, MachineId, Term, WorkerReport } from '../core/types.js';
 import type { AttemptKey } from '../core/unsettled-calls.js';
 import type { Clock } from '../io/clock.js';
--- a/src/cli/jobs.ts
+++ b/src/cli/jobs.ts
@@ -1,3 +1,4 @@
+import { dumpState } from '../core/state-dump.js';
 import { readFileSync } from 'node:fs';
 import type { Command } from 'commander';
 import { unpack } from '../actors/snapshot.js';
@@ -69,7 +70,7 @@
     .map((i) => ({ no: recordOf(i.key), ...(i.value as LogRecord) }));
   const folded = head ? unpack(at, head) : null;
   if (json) {
-    const snapshot = folded ? folded.dump() : null;
+    const snapshot = folded ? dumpState(folded) : null;
     process.stdout.write(
       `${JSON.stringify({ leader: at.get(LEADER) ?? null, term: at.get(TERM) ?? null, head: head ?? null, snapshot, records })}\n`,
     );
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -1,7 +1,10 @@
 import { chunked } from './chunked.js';
-import { allowed, cannotRepeat, slots, type PlacementResult } from './placement.js';
-import type { Live, Machine, State } from './state.js';
-import { avoids, fitsType, onlyTypes } from './state.js';
+import type { PlacementResult } from './placement.js';
+import { allowed, cannotRepeat, slots } from './rooms.js';
+import type { Live, Machine } from './model.js';
+import type { State } from './state.js';
+import { fitsType, onlyTypes } from './fit.js';
+import { avoids } from './model.js';
 import type { Entry, MachineId, MachineType, Wall } from './types.js';
 import { add, fits, type Resources } from './resources.js';
 import type { Policy } from './policy.js';
--- a/src/core/orderly-stops.ts
+++ b/src/core/orderly-stops.ts
@@ -1,5 +1,6 @@
 /** Stops that no other work asks for: of tasks whose machine is about to go, and of gangs that can't start. */
-import { BROKEN, type Job, type Live, type Machine, type State } from './state.js';
+import { BROKEN, type Job, type Live, type Machine } from './model.js';
+import type { State } from './state.js';
 import type { Entry } from './types.js';
 
 /** Seconds that a task has on top of the time that it needs to save. */
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -1,7 +1,11 @@
 import { chunked } from './chunked.js';
-import { allowed, InVain, where, type Claim, type PlacementResult } from './placement.js';
+import type { Claim } from './claims.js';
+import type { PlacementResult } from './placement.js';
+import { allowed, InVain, where } from './rooms.js';
 import { add, fits, plus, type Resources } from './resources.js';
-import { avoids, fitsType, type Job, type Live, type Machine, type State } from './state.js';
+import { fitsType } from './fit.js';
+import { avoids, type Job, type Live, type Machine } from './model.js';
+import type { State } from './state.js';
 import type { Entry, Team } from './types.js';
 import { EPS, rank } from './types.js';
 
--- a/src/core/recovery.ts
+++ b/src/core/recovery.ts
@@ -1,4 +1,5 @@
-import { CANCELLED, type Live, type Machine, type State } from './state.js';
+import { CANCELLED, type Live, type Machine } from './model.js';
+import type { State } from './state.js';
 import type { Cause, Command, Entry, Fence, JobId, WorkerReport } from './types.js';
 import type { AttemptKey, UnsettledCalls } from './unsettled-calls.js';
 
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -1,3 +1,13 @@
+import {
+  BROKEN,
+  CANCELLED,
+  isUp,
+  type Final,
+  type Hire,
+  type Job,
+  type Live,
+  type Machine,
+} from './model.js';
 import type {
   Attempt,
   Cause,
@@ -9,84 +19,8 @@
   MachineType,
   RecordNo,
   Session,
-  Team,
   Wall,
 } from './types.js';
-import { EPS } from './types.js';
-
-/** One start of one task: present on its machine from the logged decision to the logged end. */
-export interface Live {
-  job: Job;
-  task: number;
-  attempt: Attempt;
-  machine: Machine;
-  session: Session;
-  at: Wall;
-  stop: { grace: number; at: Wall; why: string } | null;
-}
-
-export interface Job {
-  spec: JobSpec;
-  at: Wall;
-  order: number;
-  withdrawn: boolean;
-  /** Tasks from here on were never started. */
-  fresh: number;
-  /** Tasks that were started and wait to be started again, with the next attempt's number. */
-  back: Map<number, number>;
-  live: Map<number, Live>;
-  done: number;
-  /** Gangs: the number of the next attempt, and whether the present one lost a task. */
-  gangTry: number;
-  broken: boolean;
-  /** Gangs: where tasks of the broken attempt were ready, for the next one. */
-  places: MachineId[];
-  errors: number;
-  errorMachines: Set<MachineId>;
-  notBefore: Wall;
-}
-
-export interface Machine {
-  id: MachineId;
-  addr: string;
-  type: string;
-  zone: string;
-  spot: boolean;
-  /** 0 until its worker has reported. */
-  session: Session;
-  hiredAt: Wall;
-  upAt: Wall;
-  drop: string | null;
-  errors: number;
-  live: Set<Live>;
-  /** How many of them are being stopped. */
-  stopping: number;
-  /** Counts what changed of the commands that its worker is due; not part of a snapshot. */
-  changes: number;
-  /** Images that tasks were started with here, latest last. */
-  images: Map<string, number>;
-  idleSince: Wall;
-  cpus: number;
-  gpus: number;
-  mem: number;
-}
-
-export interface Hire {
-  name: string;
-  type: string;
-  zone: string;
-  spot: boolean;
-  n: number;
-  at: Wall;
-}
-
-export type Final = { s: 'done' | 'cancelled'; done: number };
-
-/** Why the tasks of a withdrawn job are stopped. */
-export const CANCELLED = 'cancelled';
-
-/** Why tasks that wait for a gang which can't start any more are stopped. */
-export const BROKEN = 'broken';
 
 const num = (m: MachineId): number => Number(m.replace(/^\D+/, ''));
 
@@ -256,8 +190,6 @@
     const job = this.jobs.get(id);
     const m = this.machines.get(mid);
     if (!job || !m || !isUp(m) || !this.startable(job, task, attempt)) return;
-    const l: Live = { job, task, attempt, machine: m, session: m.session, at, stop: null };
-    job.live.set(task, l);
     if (!job.spec.gang) {
       if (!job.back.delete(task)) {
         // Tasks skipped over stay startable.
@@ -265,14 +197,21 @@
         job.fresh = task + 1;
       }
     }
-    m.live.add(l);
+    this.addLive({ job, task, attempt, machine: m, session: m.session, at, stop: null });
     m.changes++;
-    this.use(l, 1);
     m.images.delete(job.spec.image);
     m.images.set(job.spec.image, job.spec.imageGb);
     if (m.images.size > 16) m.images.delete(m.images.keys().next().value!);
   }
 
+  /** Counts a task as present on its machine; for `apply` and for loading a snapshot alone. */
+  addLive(live: Live): void {
+    live.job.live.set(live.task, live);
+    live.machine.live.add(live);
+    if (live.stop) live.machine.stopping++;
+    this.use(live, 1);
+  }
+
   private use(l: Live, sign: 1 | -1): void {
     const s = l.job.spec;
     const t = this.teamUse.get(s.team) ?? { cpus: 0, gpus: 0 };
@@ -356,143 +295,4 @@
       for (const g of low) this.gone.delete(g);
     }
   }
-
-  /** Everything but the derived counts, ready for JSON; a copy, which later records don't change. */
-  dump(): Record<string, unknown> {
-    return {
-      next: this.next,
-      marked: this.marked,
-      orders: this.orders,
-      types: [...this.types.values()],
-      hires: [...this.hires.values()],
-      gone: [...this.gone],
-      finals: [...this.finals].map(([id, f]) => [id, f.s === 'done' ? 1 : 0, f.done]),
-      machines: [...this.machines.values()].map((m) => ({
-        ...m,
-        live: undefined,
-        stopping: undefined,
-        changes: undefined,
-        cpus: undefined,
-        gpus: undefined,
-        mem: undefined,
-        images: [...m.images],
-      })),
-      jobs: [...this.jobs.values()].map((j) => ({
-        ...j,
-        back: [...j.back],
-        errorMachines: [...j.errorMachines],
-        places: [...j.places],
-        live: [...j.live.values()].map((l) => [l.task, l.attempt, l.machine.id, l.session, l.at, l.stop]),
-      })),
-    };
-  }
-
-  static load(raw: unknown): State {
-    // eslint-disable-next-line @typescript-eslint/no-explicit-any -- our own dump, read back
-    const d = raw as any;
-    const s = new State();
-    s.next = d.next;
-    s.marked = d.marked;
-    s.orders = d.orders;
-    s.types = new Map(d.types.map((t: MachineType) => [t.name, t]));
-    s.hires = new Map(d.hires.map((h: Hire) => [h.name, h]));
-    s.gone = new Set(d.gone);
-    s.finals = new Map(
-      d.finals.map(([id, f, done]: [JobId, number, number]) => [id, { s: f ? 'done' : 'cancelled', done }]),
-    );
-    for (const m of d.machines)
-      s.machines.set(m.id, {
-        ...m,
-        live: new Set(),
-        stopping: 0,
-        changes: 0,
-        cpus: 0,
-        gpus: 0,
-        mem: 0,
-        images: new Map(m.images),
-      });
-    for (const j of d.jobs) {
-      const job: Job = {
-        ...j,
-        back: new Map(j.back),
-        errorMachines: new Set(j.errorMachines),
-        places: j.places ?? [],
-        live: new Map(),
-      };
-      s.jobs.set(job.spec.id, job);
-      for (const [task, attempt, mid, session, at, stop] of j.live) {
-        const l: Live = { job, task, attempt, machine: s.machines.get(mid)!, session, at, stop };
-        job.live.set(task, l);
-        l.machine.live.add(l);
-        if (stop) l.machine.stopping++;
-        s.use(l, 1);
-      }
-    }
-    return s;
-  }
-
-  /** Tasks of an array that may be started now, at most n. */
-  waiting(job: Job, n: number): [task: number, attempt: number][] {
-    const out: [number, number][] = [];
-    for (const [t, a] of job.back) {
-      if (out.length >= n) return out;
-      out.push([t, a]);
-    }
-    for (let t = job.fresh; t < job.spec.tasks && out.length < n; t++) out.push([t, 1]);
-    return out;
-  }
-
-  waitingCount(job: Job): number {
-    if (job.withdrawn || this.finals.has(job.spec.id)) return 0;
-    if (job.spec.gang) return job.live.size === 0 && !job.broken ? job.spec.tasks : 0;
-    return job.back.size + job.spec.tasks - job.fresh;
-  }
-}
-
-/** Its worker has reported, and it is not to be given back. */
-export const isUp = (m: Machine): boolean => m.session > 0 && m.drop === null;
-
-/** From here on the failures are taken to be the job's own. */
-const FAILS_ANYWHERE = 3;
-
-/** Where a task failed it is not started again, unless it fails wherever it runs. */
-export const avoids = (job: Job, m: MachineId): boolean =>
-  job.errorMachines.size < FAILS_ANYWHERE && job.errorMachines.has(m);
-
-export function fitsType(spec: JobSpec, t: MachineType): boolean {
-  return (
-    (!spec.types || spec.types.includes(t.name)) &&
-    (!spec.zone || t.zones.includes(spec.zone)) &&
-    t.cpus + EPS >= spec.cpus &&
-    t.gpus + EPS >= spec.gpus &&
-    t.mem + EPS >= spec.mem
-  );
-}
-
-/** Types that are the only one for some unfinished job, though others have a choice. */
-export function onlyTypes(state: State): Set<string> {
-  const out = new Set<string>();
-  if (state.types.size < 2) return out;
-  const types = [...state.types.values()];
-  for (const j of state.jobs.values()) {
-    const fit = types.filter((t) => fitsType(j.spec, t));
-    if (fit.length === 1) out.add(fit[0]!.name);
-  }
-  return out;
-}
-
-export type Refusal = { status: 422 | 503; reason: string };
-
-/** Why a job can never run, or can't be judged yet; null when it can be taken. */
-export function refuse(spec: JobSpec, teams: readonly Team[], types: Iterable<MachineType>): Refusal | null {
-  const team = teams.find((t) => t.name === spec.team);
-  if (!team) return { status: 422, reason: 'unknown team' };
-  const known = [...types];
-  if (known.length === 0) return { status: 503, reason: 'machine types not known yet' };
-  if (!known.some((t) => fitsType(spec, t)))
-    return { status: 422, reason: 'a task fits no allowed machine type' };
-  const n = spec.gang ? spec.tasks : 1;
-  if (spec.cpus * n > team.cpusMax + EPS || spec.gpus * n > team.gpusMax + EPS)
-    return { status: 422, reason: "the job needs more than the team's limit" };
-  return null;
 }
--- /dev/null
+++ b/src/core/waiting-tasks.ts
@@ -0,0 +1,21 @@
+/** Which tasks of a job wait to be started. */
+import type { Job } from './model.js';
+import type { State } from './state.js';
+
+/** Tasks of an array that may be started now, at most so many. */
+export function waitingTasks(job: Job, most: number): [task: number, attempt: number][] {
+  const waiting: [number, number][] = [];
+  for (const [task, attempt] of job.back) {
+    if (waiting.length >= most) return waiting;
+    waiting.push([task, attempt]);
+  }
+  for (let task = job.fresh; task < job.spec.tasks && waiting.length < most; task++) waiting.push([task, 1]);
+  return waiting;
+}
+
+/** How many tasks wait; of a gang all or none. */
+export function countWaiting(state: State, job: Job): number {
+  if (job.withdrawn || state.finals.has(job.spec.id)) return 0;
+  if (job.spec.gang) return job.live.size === 0 && !job.broken ? job.spec.tasks : 0;
+  return job.back.size + job.spec.tasks - job.fresh;
+}
--- a/test/fakes/one-worker.ts
+++ b/test/fakes/one-worker.ts
@@ -1,6 +1,7 @@
 import type { Append } from '../../src/actors/log.js';
 import type { WorkerFigures, WorkersActor } from '../../src/actors/workers.js';
 import { State } from '../../src/core/state.js';
+import { waitingTasks } from '../../src/core/waiting-tasks.js';
 import type { Entry, JobId, MachineId, Term } from '../../src/core/types.js';
 import type { HttpAnswer, HttpCall } from '../../src/io/http-client.js';
 import { readReport } from '../../src/wire/reports.js';
@@ -126,7 +127,7 @@
   /** Starts a waiting task of the latest job on the worker, if there is one. */
   start(): void {
     const job = this.state.jobs.get(this.job);
-    const next = job && !job.withdrawn ? this.state.waiting(job, 1)[0] : undefined;
+    const next = job && !job.withdrawn ? waitingTasks(job, 1)[0] : undefined;
     if (next) this.decide({ e: 'start', job: this.job, p: [[next[0], next[1], this.machine]] });
   }
 
--- a/test/log.test.ts
+++ b/test/log.test.ts
@@ -3,6 +3,7 @@
 import { LogActor } from '../src/actors/log.js';
 import { lines, pack, unpack } from '../src/actors/snapshot.js';
 import { giveBack, type CapacityInput } from '../src/core/capacity.js';
+import { dumpState } from '../src/core/state-dump.js';
 import { State } from '../src/core/state.js';
 import type { Entry, MachineId, Wall } from '../src/core/types.js';
 import { chunkKey } from '../src/wire/keys.js';
@@ -91,9 +92,9 @@
         { e: 'start', job: `wk-${i}` as never, p: [[0, 1, `vm-${i}` as MachineId]] },
       ]);
     write(state, [{ e: 'stop', job: 'wk-3' as never, p: [0], grace: 0, why: 'preempted' }]);
-    const before = JSON.stringify(state.dump());
+    const before = JSON.stringify(dumpState(state));
     let steps = 0;
-    const text = await lines(state.dump(), () => {
+    const text = await lines(dumpState(state), () => {
       steps++;
       write(state, [{ e: 'end', p: [[`wk-${steps}` as never, 0, 1 as never, 'stopped', false]] }]);
       return Promise.resolve();
@@ -104,7 +105,7 @@
       const chunks = await pack(t, 1000, (x) => Promise.resolve(deflateSync(x)));
       const keys = new Map(chunks.map((c, i) => [chunkKey(7, i), c as unknown]));
       const loaded = unpack(keys, { upto: 7, chunks: chunks.length })!;
-      expect(JSON.stringify(loaded.dump())).toBe(before);
+      expect(JSON.stringify(dumpState(loaded))).toBe(before);
       expect(loaded.machines.get('vm-3' as MachineId)).toMatchObject({ stopping: 1, cpus: 1 });
     }
   });
--- a/test/preemption.test.ts
+++ b/test/preemption.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
-import { claims, place } from '../src/core/placement.js';
+import { claims } from '../src/core/claims.js';
+import { place } from '../src/core/placement.js';
 import { preempt } from '../src/core/preemption.js';
 import { State } from '../src/core/state.js';
 import type { Entry, JobSpec, MachineId, Wall } from '../src/core/types.js';
