Users' requests and answers without a certain lock leave the controller; cancel for withdraw

Change: no behaviour. Functions speak of cancelled jobs; 'quillhead job cancel' is the command, 'withdraw' still works.

--- a/src/actors/admission.ts
+++ b/src/actors/admission.ts
@@ -63,7 +63,7 @@
     private readonly valueKb: number,
     private readonly certain: () => boolean,
     private readonly running: (job: Job) => number,
-    /** A withdrawal is on its way into a record, or no more. */
+    /** A cancellation is on its way into a record, or no more. */
     private readonly onWithdraw: (job: JobId, open: boolean) => void,
   ) {
     super();
--- a/src/actors/controller.ts
+++ b/src/actors/controller.ts
@@ -1,21 +1,14 @@
+/** One node: follows the log, contends for the lock, leads while it holds it. */
 import { dumpState } from '../core/state-dump.js';
-import type { Command, Fence, JobId, JobSpec, Steady, Term, WorkerReport } from '../core/types.js';
-import type { Peers, PeerAnswer, PeerAsk, PeerStatus } from '../io/peers.js';
+import type { Command, Fence, Steady, Term, WorkerReport } from '../core/types.js';
+import type { Peers, PeerStatus } from '../io/peers.js';
 import { sleep } from '../io/clock.js';
 import { LEADER, type LeaderValue } from '../wire/keys.js';
-import {
-  SETTLE_MS,
-  finalAnswer,
-  later,
-  noSuchJob,
-  standing,
-  type Reply,
-  type UserRequest,
-} from './admission.js';
 import { Follower } from './follower.js';
 import { LeaderActor, type LeaderPorts } from './leader.js';
-import { DRIFT, Lock } from './lock.js';
-import { SingleFlight } from './single-flight.js';
+import { Lock } from './lock.js';
+import { UncertainAnswers } from './uncertain-answers.js';
+import { UserRequests } from './user-requests.js';
 import type { WorkerFigures } from './workers.js';
 
 /** The shortest lease of the leader key. */
@@ -32,11 +25,6 @@
   );
 const DEAF_MS = 5500;
 const HOLD_OFF_MS = 8000;
-/** Questions to the leader of how far its log is keep this distance; so long its log may take to come here. */
-const POSITIONS_APART_MS = 50;
-const REACH_MS = 600;
-/** Workers end their tasks this soon after their lease. */
-const TASKS_END_MS = 1000;
 /** Added to the lock's time: longer than a dead leader's lock lasts. */
 const APART_AFTER_MS = 700;
 
@@ -64,8 +52,9 @@
   private linkedAt = -Infinity;
   /** What this node saw of terms reaches back to here: all of it once the state service was read. */
   private remembers: Steady;
-  /** When each other node was asked the question to which it answered that it has not led since. */
-  private readonly vouched = new Map<string, Steady>();
+  private readonly uncertainAnswers: UncertainAnswers;
+  /** What users ask, here and passed on by peers. */
+  readonly requests: UserRequests;
 
   constructor(
     private readonly ports: LeaderPorts,
@@ -76,7 +65,6 @@
     const { machine_limits, workers } = settings.cluster;
     const lock = lockMs(machine_limits.cpu_share, workers.lease_s);
     this.apartMs = lock + APART_AFTER_MS;
-    this.positions = new SingleFlight(clock, POSITIONS_APART_MS, () => this.leaderPosition());
     this.lock = new Lock(store, clock, { node: settings.node, term: 0, run }, lock, logger, (why) =>
       this.stepDown(why),
     );
@@ -92,6 +80,13 @@
         this.higher(t);
       },
     });
+    this.uncertainAnswers = new UncertainAnswers(this.lock, clock, settings);
+    this.requests = new UserRequests({
+      ...{ clock, follower: this.follower, lock: this.lock },
+      leading: () => this.leading,
+      otherLeader: () => this.otherLeader(),
+      peers: () => this.peers,
+    });
   }
 
   async start(peers: Peers): Promise<void> {
@@ -161,7 +156,7 @@
       return;
     }
     this.highest = Math.max(this.highest, held.term);
-    this.vouched.clear();
+    this.uncertainAnswers.reset();
     this.follower.pause();
     for (;;) {
       if (!this.lock.holding || this.lock.holding.term !== held.term) return;
@@ -175,7 +170,7 @@
       ...{ ports: this.ports, state: this.follower.state, lock: this.lock, held, head: this.follower.head },
       onDeposed: (why) => this.lock.lose(why),
       onHigherTerm: (term) => this.higher(term),
-      mayAnswerUncertain: () => this.holds(),
+      mayAnswerUncertain: () => this.uncertainAnswers.areAllowed(),
     });
     this.ports.measure('take_over', clock.steady() - from);
     const { term, stamp } = held;
@@ -191,31 +186,6 @@
     this.follower.resume();
   }
 
-  /** The latest moment at which, as far as is known here, no other node can have led. */
-  private clean(): number {
-    const others = this.ports.settings.seeds.map((s) => this.vouched.get(s.node) ?? -Infinity);
-    return Math.max(this.lock.endsAt, Math.min(Infinity, ...others));
-  }
-
-  /**
-   * Guards ran_cancelled: whether reports may be answered without a certain lock. A withdrawal that another
-   * leader confirmed, and that this node does not know of, is later than `clean`; its tasks end with the
-   * lease that is not renewed, so no lease may last longer than what a cancellation has from then on.
-   */
-  private holds(): boolean {
-    const { lease_s, cancel_s } = this.ports.settings.cluster.workers;
-    const longest = lease_s * 1000 + cancel_s * 1000 * DRIFT + TASKS_END_MS;
-    return this.ports.clock.steady() + longest < this.clean() + cancel_s * 1000;
-  }
-
-  /** A node that answered a question put at that time has not led since `clean`, and is not about to. */
-  private vouch(s: PeerStatus, asked: Steady): void {
-    if (s.term > (this.lock.holding?.term ?? 0) || s.takingOver) return;
-    // A node that came up later knows nothing of what its former run did.
-    if (this.ports.clock.steady() - s.remembersMs * (1 - DRIFT) > this.clean()) return;
-    this.vouched.set(s.node, asked);
-  }
-
   /** A higher term was seen: somebody else leads. */
   private higher(term: Term): void {
     if (term <= this.highest) return;
@@ -270,7 +240,7 @@
       this.ledTerm = s.leaderTerm;
       this.leader = { node: s.leader, term: s.leaderTerm, run: '' };
     }
-    if (asked !== undefined) this.vouch(s, asked);
+    if (asked !== undefined) this.uncertainAnswers.vouch(s, asked);
     if (s.leading) this.leaderSeen = this.ports.clock.steady();
   }
 
@@ -305,77 +275,4 @@
   private otherLeader(): string | null {
     return this.leader && this.leader.node !== this.ports.settings.node ? this.leader.node : null;
   }
-
-  async user(ask: { kind: UserRequest['kind']; job: JobId; spec?: JobSpec }): Promise<Reply> {
-    const here = this.here(ask);
-    if (here) return here;
-    const f = finalAnswer(this.follower.state, ask.job);
-    if (f) return f;
-    const to = this.otherLeader();
-    const asLeader = ask.kind === 'show' && to ? await this.asLeader(ask.job) : null;
-    if (asLeader) return asLeader;
-    const a =
-      to && this.peers
-        ? await this.peers.ask(to, {
-            kind: ask.kind,
-            job: ask.job,
-            spec: ask.spec ? JSON.stringify(ask.spec) : undefined,
-          })
-        : null;
-    if (a && a.status !== 503)
-      return { status: a.status, body: JSON.parse(a.body) as object, retryAfter: a.retryAfter || undefined };
-    const known = await this.fromLog(ask);
-    if (known) return known;
-    if (!a) return later(to ? 'the leader does not answer' : 'no leader known');
-    return { status: a.status, body: JSON.parse(a.body) as object, retryAfter: a.retryAfter || 1 };
-  }
-
-  /**
-   * What the leader would say of a job, from this node's log: it is asked how far its log is, once for all
-   * questions that wait, so that a flood of them costs it little. Null: it must be asked itself.
-   */
-  private async asLeader(job: JobId): Promise<Reply | null> {
-    const next = await this.positions.get();
-    if (next === null || !(await this.follower.reaches(next, REACH_MS))) return null;
-    return standing(this.follower.state, job, (j) => j.live.size) ?? noSuchJob;
-  }
-  private readonly positions: SingleFlight<number | null>;
-
-  private async leaderPosition(): Promise<number | null> {
-    const to = this.otherLeader();
-    const a = to && this.peers ? await this.peers.ask(to, { kind: 'position', job: '' }) : null;
-    return a?.status === 200 ? (JSON.parse(a.body) as { next: number }).next : null;
-  }
-
-  /**
-   * Guards forgotten and older answers while no leader is reached: the log, read on to this moment,
-   * says what any leader would. What needs a record is refused.
-   */
-  private async fromLog(ask: { kind: UserRequest['kind']; job: JobId }): Promise<Reply | null> {
-    const { follower } = this;
-    const known = ask.kind === 'submit' && follower.state.jobs.has(ask.job);
-    if ((ask.kind !== 'show' && !known) || !(await follower.fresh())) return null;
-    return standing(follower.state, ask.job, (j) => j.live.size) ?? (known ? null : noSuchJob);
-  }
-
-  private here(ask: { kind: UserRequest['kind']; job: JobId; spec?: JobSpec }): Promise<Reply> | null {
-    const l = this.leading;
-    if (!l) return null;
-    return new Promise((reply) => {
-      if (ask.kind === 'submit') l.admission.tell({ kind: 'submit', spec: ask.spec!, reply });
-      else l.admission.tell({ kind: ask.kind, job: ask.job, reply });
-    });
-  }
-
-  /** A peer passes on what its user asked. */
-  async asked(a: PeerAsk): Promise<PeerAnswer> {
-    if (a.kind === 'position') {
-      // Guards older answers: only a leader that holds its lock knows how far the log is.
-      const ok = (await this.leading?.log.settled(SETTLE_MS)) === true && this.lock.certain();
-      return { status: ok ? 200 : 503, body: JSON.stringify({ next: this.position }), retryAfter: 0 };
-    }
-    const spec = a.spec ? (JSON.parse(a.spec) as JobSpec) : undefined;
-    const r = (await this.here({ kind: a.kind, job: a.job as JobId, spec })) ?? later('not leading');
-    return { status: r.status, body: JSON.stringify(r.body), retryAfter: r.retryAfter ?? 0 };
-  }
 }
--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -1,7 +1,7 @@
 /** One term of leading: the log's writer, what was heard and is told, and the rounds that decide what runs where. */
 import type { Random } from '../core/fill.js';
 import type { Policy } from '../core/policy.js';
-import { withdrawn } from '../core/recovery.js';
+import { isCancelled } from '../core/recovery.js';
 import type { Job, Live } from '../core/model.js';
 import type { State } from '../core/state.js';
 import type { Entry, LogRecord, MachineId, RecordNo, Term, Wall } from '../core/types.js';
@@ -198,7 +198,7 @@
    * hears nothing; the machine is returned while that still helps.
    */
   private isOverdue(live: Live): boolean {
-    if (!live.stop || !withdrawn(live) || this.workers.hasReportedEnd(live)) return false;
+    if (!live.stop || !isCancelled(live) || this.workers.hasReportedEnd(live)) return false;
     const { lease_s, cancel_s } = this.ports.settings.cluster.workers;
     const age = (this.clock.wall() - (this.cancelledAt.get(live.job) ?? live.stop.at)) / 1000;
     return age > lease_s && (this.workers.isReconciled() || age > cancel_s - RETURN_S);
--- a/src/actors/log.ts
+++ b/src/actors/log.ts
@@ -204,7 +204,7 @@
     this.writes.ms += took;
     this.measure(took);
     // Guards starts after a confirmed cancellation: a launch of the first record must not leave when the
-    // withdrawal in the second is written already.
+    // cancellation in the second is written already.
     for (const [i, { record }] of batches.entries()) this.state.apply((first + i) as RecordNo, record);
     for (const [i, { items, record }] of batches.entries()) {
       const no = (first + i) as RecordNo;
--- a/src/actors/workers.ts
+++ b/src/actors/workers.ts
@@ -2,7 +2,7 @@
  * Hears the workers of one leader, and tells them what the log says. Commands follow from committed state and a
  * worker's own last report; they travel in the answer to its next report, and in a direct call before that.
  */
-import { attemptKey, commands, holdsWithdrawn, stopsOfWithdrawn } from '../core/recovery.js';
+import { attemptKey, commands, holdsCancelled, stopsOfCancelled } from '../core/recovery.js';
 import { isUp, type Job, type Live, type Machine } from '../core/model.js';
 import type { State } from '../core/state.js';
 import type { Command, Fence, JobId, MachineId, Term, WorkerReport } from '../core/types.js';
@@ -164,7 +164,7 @@
     const machine = this.state.machines.get(report.machine);
     // Guards ran_cancelled: whatever renews a lease carries the stops of cancelled jobs.
     if (!isCertain || view.report !== report)
-      return { fence: view.fence, orders: machine ? stopsOfWithdrawn(this.state, machine, view.report) : [] };
+      return { fence: view.fence, orders: machine ? stopsOfCancelled(this.state, machine, view.report) : [] };
     const orders = this.commandsFor(view);
     this.calls.waitNoMore(report.machine);
     for (const key of startsOf(orders)) view.startedInAnswer.set(key, report.seq);
@@ -216,7 +216,7 @@
     if (!machine?.addr || this.stopped) return;
     if (this.inCall.has(id)) return void this.callAgain.add(id);
     const view = this.intake.views.get(id);
-    const isUrgent = holdsWithdrawn(machine);
+    const isUrgent = holdsCancelled(machine);
     const mayTellAll = this.options.isCertain() && !machine.drop && view !== undefined;
     if (!mayTellAll && !isUrgent) return;
     // The answer to the machine's next report carries the same at a fraction of the cost.
@@ -227,7 +227,7 @@
     const orders = mayTellAll ? this.commandsFor(view).filter((order) => mayGoDirectly(order, view)) : [];
     if (isUrgent && orders.length === 0) {
       const report = view?.report.session === machine.session ? view.report : null;
-      orders.push(...stopsOfWithdrawn(this.state, machine, report));
+      orders.push(...stopsOfCancelled(this.state, machine, report));
     }
     const hasFenceToShow = view?.knowsTerm && view.fence > view.report.fence;
     if (orders.length > 0 || hasFenceToShow) this.sendCommands(machine, view, orders);
@@ -265,7 +265,7 @@
     // Guards ran_cancelled: stops of cancelled jobs go out again until a report shows the end, certain
     // lock or not. They carry the term, so a former leader's answers hold the task no longer.
     for (const machine of this.state.machines.values())
-      if (holdsWithdrawn(machine)) this.callWithCommands(machine.id);
+      if (holdsCancelled(machine)) this.callWithCommands(machine.id);
     // Most come by themselves within a report's time, when a new leader has the most to do.
     if (this.firstReports.periodIsOver()) this.introduce();
   }
--- a/src/cli/jobs.ts
+++ b/src/cli/jobs.ts
@@ -1,7 +1,8 @@
-import { dumpState } from '../core/state-dump.js';
+/** The commands that ask a node about jobs, and the one that shows what the state service holds. */
 import { readFileSync } from 'node:fs';
 import type { Command } from 'commander';
 import { unpack } from '../actors/snapshot.js';
+import { dumpState } from '../core/state-dump.js';
 import type { LogRecord } from '../core/types.js';
 import { httpCaller, type HttpAnswer } from '../io/http-client.js';
 import { HEAD, LEADER, RECORDS, ROOT, TERM, recordOf, type HeadValue } from '../wire/keys.js';
@@ -41,7 +42,7 @@
   });
 
 export function jobCommands(program: Command): void {
-  const job = program.command('job').description('submit, show and withdraw jobs at any node');
+  const job = program.command('job').description('submit, show and cancel jobs at any node');
   const common = (c: Command): Command =>
     c.requiredOption('--node <host:port>', 'a node').option('--json', 'answer in JSON');
   common(job.command('submit <file>').description('submit a job (JSON as in the interface)')).action(
@@ -50,8 +51,8 @@
   common(job.command('show <id>').description('the state of a job')).action((id: string, o: Common) =>
     ask(o, 'GET', `/v1/jobs/${encodeURIComponent(id)}`),
   );
-  common(job.command('withdraw <id>').description('cancel a job')).action((id: string, o: Common) =>
-    ask(o, 'POST', `/v1/jobs/${encodeURIComponent(id)}/withdraw`, {}),
+  common(job.command('cancel <id>').alias('withdraw').description('cancel a job')).action(
+    (id: string, o: Common) => ask(o, 'POST', `/v1/jobs/${encodeURIComponent(id)}/withdraw`, {}),
   );
 }
 
--- a/src/cli/warm.ts
+++ b/src/cli/warm.ts
@@ -97,11 +97,11 @@
     await sleep(STEP_MS);
     const read = readJob(job((step % JOBS) + 1));
     if ('error' in read) throw new Error(read.error);
-    void controller.user({ kind: 'submit', job: read.spec.id, spec: read.spec });
-    void controller.user({ kind: 'show', job: read.spec.id });
+    void controller.requests.answer({ kind: 'submit', job: read.spec.id, spec: read.spec });
+    void controller.requests.answer({ kind: 'show', job: read.spec.id });
     controller.ready();
     controller.status();
     for (const worker of workers) worker.report(controller);
   }
-  await controller.user({ kind: 'withdraw', job: 'wk-1' as JobId });
+  await controller.requests.answer({ kind: 'withdraw', job: 'wk-1' as JobId });
 }
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -31,7 +31,7 @@
   silent: (m: Machine) => number;
   /** Most machines are silent at once. */
   deaf: boolean;
-  /** A withdrawn task that stops have not ended in time. */
+  /** A cancelled task that stops have not ended in time. */
   overdue: (l: Live) => boolean;
   leaseS: number;
   policy: Policy;
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -69,7 +69,7 @@
 
 export type Final = { s: 'done' | 'cancelled'; done: number };
 
-/** Why the tasks of a withdrawn job are stopped. */
+/** Why the tasks of a cancelled job are stopped. */
 export const CANCELLED = 'cancelled';
 
 /** Why tasks that wait for a gang which can't start any more are stopped. */
--- a/src/core/recovery.ts
+++ b/src/core/recovery.ts
@@ -92,20 +92,20 @@
   return { orders, unsent, above };
 }
 
-/** Whether a task is stopped because its job was withdrawn. */
-export const withdrawn = (l: Live): boolean => l.stop?.why === CANCELLED;
+/** Whether a task is stopped because its job was cancelled. */
+export const isCancelled = (l: Live): boolean => l.stop?.why === CANCELLED;
 
-/** Whether tasks of withdrawn jobs may be on a machine. */
-export function holdsWithdrawn(m: Machine): boolean {
-  if (m.stopping > 0) for (const l of m.live) if (withdrawn(l)) return true;
+/** Whether tasks of cancelled jobs may be on a machine. */
+export function holdsCancelled(m: Machine): boolean {
+  if (m.stopping > 0) for (const l of m.live) if (isCancelled(l)) return true;
   return false;
 }
 
 /**
- * The stops of withdrawn jobs: a withdrawal in the log is final, so telling of it is no decision, and
+ * The stops of cancelled jobs: a cancellation in the log is final, so telling of it is no decision, and
  * needs no certain lock. Without a report the log alone says what may be there.
  */
-export function stopsOfWithdrawn(state: State, m: Machine, r: WorkerReport | null): Command[] {
+export function stopsOfCancelled(state: State, m: Machine, r: WorkerReport | null): Command[] {
   const orders: Command[] = [];
   const exited = new Set<string>();
   for (const t of r?.tasks ?? []) {
@@ -115,7 +115,7 @@
   }
   if (m.stopping > 0)
     for (const l of m.live)
-      if (withdrawn(l) && !exited.has(attemptKey(l.job.spec.id, l.task, l.attempt)))
+      if (isCancelled(l) && !exited.has(attemptKey(l.job.spec.id, l.task, l.attempt)))
         orders.push({ op: 'stop', job: l.job.spec.id, task: l.task, attempt: l.attempt, grace: 0 });
   return orders;
 }
--- a/src/io/server.ts
+++ b/src/io/server.ts
@@ -63,7 +63,7 @@
 function show(c: Controller, id: string, res: http.ServerResponse, measure: Measure): void {
   if (!jobIdForm.test(id)) return send(res, noSuchJob);
   const from = performance.now();
-  void c.user({ kind: 'show', job: id as JobId }).then((r) => {
+  void c.requests.answer({ kind: 'show', job: id as JobId }).then((r) => {
     measure('question', performance.now() - from);
     send(res, r);
   });
@@ -87,13 +87,13 @@
       const refused = (): void => json(res, 400, { error: j.error });
       if (typeof id !== 'string' || !jobIdForm.test(id)) return refused();
       // Guards forgotten: an accepted job is answered for, whatever its repeat's body.
-      void c
-        .user({ kind: 'show', job: id as JobId })
+      void c.requests
+        .answer({ kind: 'show', job: id as JobId })
         .then((r) => (r.status === 200 ? send(res, r) : refused()));
       return;
     }
     const from = performance.now();
-    void c.user({ kind: 'submit', job: j.spec.id, spec: j.spec }).then((r) => {
+    void c.requests.answer({ kind: 'submit', job: j.spec.id, spec: j.spec }).then((r) => {
       const ms = performance.now() - from;
       measure('answer', ms);
       logger.debug({ job: j.spec.id, status: r.status, why: r.body, ms: Math.round(ms) }, 'submission');
@@ -103,7 +103,7 @@
   app.post('/v1/jobs/:id/withdraw', (req, res) => {
     const id = req.params.id;
     if (!jobIdForm.test(id)) return send(res, noSuchJob);
-    void c.user({ kind: 'withdraw', job: id as JobId }).then((r) => {
+    void c.requests.answer({ kind: 'withdraw', job: id as JobId }).then((r) => {
       logger.debug({ job: id, status: r.status, why: r.body }, 'cancellation');
       send(res, r);
     });
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -202,7 +202,7 @@
         controller.peerStatus(body as PeerStatus);
         return { status: 200, body: controller.status() };
       }
-      return controller.asked(body as PeerAsk).then((a) => ({ status: 200, body: a }));
+      return controller.requests.answerPeer(body as PeerAsk).then((a) => ({ status: 200, body: a }));
     });
     const known = new Map<string, { status: PeerStatus; at: number }>();
     const linked = (node: string): boolean => this.time.now - (known.get(node)?.at ?? -Infinity) < 1500;
@@ -304,7 +304,7 @@
       spec = r.spec;
     }
     if (kind === 'withdraw') this.checker.willWithdraw(id);
-    const answer = c.user({ kind, job: id as JobId, spec }).then((r) => ({
+    const answer = c.requests.answer({ kind, job: id as JobId, spec }).then((r) => ({
       status: r.status,
       standing: (r.body as { standing?: string }).standing,
       retryAfter: r.retryAfter,
--- a/test/recovery.test.ts
+++ b/test/recovery.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { attemptKey, commands, stopsOfWithdrawn, type Seen } from '../src/core/recovery.js';
+import { attemptKey, commands, stopsOfCancelled, type Seen } from '../src/core/recovery.js';
 import { State } from '../src/core/state.js';
 import type { Entry, Fence, MachineId, TaskReport, WorkerReport } from '../src/core/types.js';
 import { UnsettledCalls, type CallNumber } from '../src/core/unsettled-calls.js';
@@ -104,12 +104,12 @@
     const other: Entry = { e: 'start', job: 'wk-1' as never, p: [[1, 1, 'vm-1' as MachineId]] };
     const machine = (s: State) => s.machines.get('vm-1' as MachineId)!;
     const kept = state([started, other]);
-    expect(stopsOfWithdrawn(kept, machine(kept), seen([{ task: 0, state: 'running' }]).report)).toEqual([]);
+    expect(stopsOfCancelled(kept, machine(kept), seen([{ task: 0, state: 'running' }]).report)).toEqual([]);
     const s = state([started, other, withdrawn]);
     const both = [0, 1].map((task) => ({ op: 'stop', job: 'wk-1', task, attempt: 1, grace: 0 }));
-    expect(stopsOfWithdrawn(s, machine(s), null)).toEqual(both);
+    expect(stopsOfCancelled(s, machine(s), null)).toEqual(both);
     const one = seen([{ task: 0, state: 'exited' }]).report;
-    expect(stopsOfWithdrawn(s, machine(s), one)).toEqual([both[1]]);
+    expect(stopsOfCancelled(s, machine(s), one)).toEqual([both[1]]);
   });
 
   it('is to stop what the log does not know', () => {
--- a/test/wire.test.ts
+++ b/test/wire.test.ts
@@ -1,6 +1,7 @@
 import type { AddressInfo } from 'node:net';
 import { afterEach, describe, expect, it } from 'vitest';
 import type { Controller } from '../src/actors/controller.js';
+import type { UserRequests } from '../src/actors/user-requests.js';
 import { later } from '../src/actors/admission.js';
 import { realClock } from '../src/io/clock.js';
 import { PeerLinks, type PeerAsk, type PeerStatus } from '../src/io/peers.js';
@@ -14,8 +15,8 @@
 });
 
 describe('the HTTP interface, over loopback', () => {
-  const open = async (user: Controller['user']): Promise<string> => {
-    const c = { user, ready: () => true } as unknown as Controller;
+  const open = async (answer: UserRequests['answer']): Promise<string> => {
+    const c = { requests: { answer }, ready: () => true } as unknown as Controller;
     const s = server(
       c,
       () => ({}),
