Options objects for the log and admission; addresses are checked; limits on files and functions

Need: positional parameters by the dozen; a wrong address in the settings ended in a connection that never came about; nothing kept files and functions from growing again. Change: LogActor and AdmissionActor take options. ESLint: 300 lines a file and 7 parameters in src and tools, 40 lines a function and no shadowing in the files that keep to it, others follow.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,11 +1,43 @@
 import js from '@eslint/js';
 import ts from 'typescript-eslint';
 
-export default ts.config(js.configs.recommended, ...ts.configs.strict, {
-  languageOptions: { globals: { process: 'readonly', URL: 'readonly', setTimeout: 'readonly' } },
-  rules: {
-    '@typescript-eslint/no-non-null-assertion': 'off',
-    '@typescript-eslint/consistent-type-imports': 'error',
-    eqeqeq: 'error',
+const MOST_FILE_LINES = 300;
+const MOST_FUNCTION_LINES = 40;
+const MOST_PARAMETERS = 7;
+
+/** Source files that keep to the limit of a function's length; the others follow file by file. */
+const SHORT_FUNCTIONS = [
+  'src/actors/{acknowledgements,admission,direct-calls,first-reports,introductions,leader,node-pace,pending-facts,pulse}.ts',
+  'src/actors/{report-intake,round,snapshot,snapshotter,task-progress,token-bucket,uncertain-answers}.ts',
+  'src/actors/{user-requests,worker-view,workers}.ts',
+  'src/core/{chunked,claims,fit,model,orderly-stops,placement,resources,rooms,state-dump,types}.ts',
+  'src/core/{unsettled-calls,waiting-tasks,zones}.ts',
+  'tools/**/*.ts',
+];
+
+export default ts.config(
+  js.configs.recommended,
+  ...ts.configs.strict,
+  {
+    languageOptions: { globals: { process: 'readonly', URL: 'readonly', setTimeout: 'readonly' } },
+    rules: {
+      '@typescript-eslint/no-non-null-assertion': 'off',
+      '@typescript-eslint/consistent-type-imports': 'error',
+      eqeqeq: 'error',
+    },
+  },
+  {
+    files: ['src/**/*.ts', 'tools/**/*.ts'],
+    rules: {
+      'max-lines': ['error', MOST_FILE_LINES],
+      '@typescript-eslint/max-params': ['error', { max: MOST_PARAMETERS }],
+    },
+  },
+  {
+    files: SHORT_FUNCTIONS,
+    rules: {
+      'max-lines-per-function': ['error', { max: MOST_FUNCTION_LINES }],
+      '@typescript-eslint/no-shadow': 'error',
+    },
   },
-});
+);
--- a/src/actors/admission.ts
+++ b/src/actors/admission.ts
@@ -1,3 +1,4 @@
+/** Takes users' requests on the leader. */
 import { refuse } from '../core/fit.js';
 import type { Job } from '../core/model.js';
 import type { State } from '../core/state.js';
@@ -44,10 +45,28 @@
 
 export const noSuchJob: Reply = { status: 404, body: { error: 'no such job' } };
 
+export interface AdmissionOptions {
+  state: State;
+  log: LogActor;
+  clock: Clock;
+  teams: readonly Team[];
+  /** The size of a value of the state service, in KiB: a job has to fit into one. */
+  valueKb: number;
+  /** Whether the lock is certain to be held. */
+  isCertain: () => boolean;
+  /** How many tasks of a job run. */
+  running: (job: Job) => number;
+  /** A cancellation is on its way into a record, or no more. */
+  onCancelling: (job: JobId, isUnderWay: boolean) => void;
+}
+
+/** A request whose record is not written by then is answered with 503. */
 const ANSWER_MS = 1500;
+/** While a write has gone unanswered for longer, what needs a record is refused at once. */
 const STUCK_MS = 700;
 /** How long a question waits for a write under way. */
 export const SETTLE_MS = 1000;
+/** More requests than this don't wait for a record. */
 const QUEUE_MOST = 400;
 
 /** Takes users' requests on the leader; answers come from recorded state only. */
@@ -55,18 +74,13 @@
   /** Requests that wait for the same record. */
   private readonly open = new Map<string, ((ok: boolean) => void)[]>();
 
-  constructor(
-    private readonly state: State,
-    private readonly log: LogActor,
-    private readonly clock: Clock,
-    private readonly teams: readonly Team[],
-    private readonly valueKb: number,
-    private readonly certain: () => boolean,
-    private readonly running: (job: Job) => number,
-    /** A cancellation is on its way into a record, or no more. */
-    private readonly onWithdraw: (job: JobId, open: boolean) => void,
-  ) {
+  private readonly state: State;
+  private readonly log: LogActor;
+
+  constructor(private readonly options: AdmissionOptions) {
     super();
+    this.state = options.state;
+    this.log = options.log;
   }
 
   protected receive(m: UserRequest): void {
@@ -76,14 +90,14 @@
   }
 
   private standing(id: JobId): Reply | null {
-    return standing(this.state, id, this.running);
+    return standing(this.state, id, this.options.running);
   }
 
   private show(id: JobId, reply: (r: Reply) => void): void {
     const f = finalAnswer(this.state, id);
     if (f) return reply(f);
     // Guards forgotten and older answers: only a leader that holds its lock may say what can change.
-    if (!this.certain()) return reply(later('not certain to lead'));
+    if (!this.options.isCertain()) return reply(later('not certain to lead'));
     if (this.log.touches(id)) return this.afterWrite(reply, () => this.show(id, reply));
     reply(this.standing(id) ?? noSuchJob);
   }
@@ -99,15 +113,15 @@
   private submit(spec: JobSpec, reply: (r: Reply) => void): void {
     const f = finalAnswer(this.state, spec.id);
     if (f) return reply(f);
-    if (!this.certain()) return reply(later('not certain to lead'));
+    if (!this.options.isCertain()) return reply(later('not certain to lead'));
     if (this.log.touches(spec.id) && !this.open.has(`s ${spec.id}`))
       return this.afterWrite(reply, () => this.submit(spec, reply));
     const known = this.standing(spec.id);
     if (known) return reply(known);
-    const no = refuse(spec, this.teams, this.state.types.values());
+    const no = refuse(spec, this.options.teams, this.state.types.values());
     if (no) return reply(no.status === 503 ? later(no.reason) : { status: 422, body: { error: no.reason } });
     // What no record can hold would stop the pen for good.
-    if (Buffer.byteLength(JSON.stringify(spec)) > this.valueKb * 1024 - 400)
+    if (Buffer.byteLength(JSON.stringify(spec)) > this.options.valueKb * 1024 - 400)
       return reply({ status: 400, body: { error: 'the description is too long to be kept' } });
     this.write(`s ${spec.id}`, { e: 'job', spec }, reply, () => ({
       ...(this.standing(spec.id) ?? later('not written')),
@@ -118,7 +132,7 @@
   private withdraw(id: JobId, reply: (r: Reply) => void): void {
     const f = finalAnswer(this.state, id);
     if (f) return reply(f);
-    if (!this.certain()) return reply(later('not certain to lead'));
+    if (!this.options.isCertain()) return reply(later('not certain to lead'));
     if (!this.state.jobs.has(id)) {
       // Its submission may be on its way into a record.
       return reply(this.open.has(`s ${id}`) ? later('being submitted') : noSuchJob);
@@ -142,19 +156,19 @@
       cancel();
       reply(r);
     };
-    const cancel = this.clock.after(ANSWER_MS, () => end(later('not written in time')));
-    const done = (ok: boolean): void => end(ok && this.certain() ? then() : later('not written'));
+    const cancel = this.options.clock.after(ANSWER_MS, () => end(later('not written in time')));
+    const done = (ok: boolean): void => end(ok && this.options.isCertain() ? then() : later('not written'));
     const same = this.open.get(key);
     if (same) return void same.push(done);
     const list = [done];
     this.open.set(key, list);
-    if (entry.e === 'withdraw') this.onWithdraw(entry.job, true);
+    if (entry.e === 'withdraw') this.options.onCancelling(entry.job, true);
     this.log.tell({
       entries: [entry],
       urgent: true,
       done: (ok) => {
         this.open.delete(key);
-        if (entry.e === 'withdraw') this.onWithdraw(entry.job, false);
+        if (entry.e === 'withdraw') this.options.onCancelling(entry.job, false);
         for (const d of list) d(ok);
       },
     });
--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -129,11 +129,11 @@
 
   private openLog({ ports, state, held, onDeposed }: LeaderOptions): LogActor {
     const { clock, logger, measure, settings, store } = ports;
-    const { term, stamp } = held;
-    const limits = settings.cluster.state;
-    return new LogActor(state, store, clock, limits, term, stamp, logger, onDeposed, (ms) =>
-      measure('write', ms),
-    );
+    return new LogActor({
+      ...{ state, store, clock, logger, onDeposed, term: held.term, stamp: held.stamp },
+      limits: settings.cluster.state,
+      onWritten: (ms) => measure('write', ms),
+    });
   }
 
   private openWorkers(options: LeaderOptions, isCertain: () => boolean): WorkersActor {
@@ -151,16 +151,12 @@
 
   private openAdmission(isCertain: () => boolean): AdmissionActor {
     const { clock, settings } = this.ports;
-    return new AdmissionActor(
-      this.state,
-      this.log,
-      clock,
-      teamsOf(settings),
-      settings.cluster.state.value_kb,
-      isCertain,
-      (job) => this.workers.running(job),
-      (job, isUnderWay) => this.workers.tell({ kind: 'cancelling', job, isUnderWay }),
-    );
+    return new AdmissionActor({
+      ...{ state: this.state, log: this.log, clock, isCertain, teams: teamsOf(settings) },
+      valueKb: settings.cluster.state.value_kb,
+      running: (job) => this.workers.running(job),
+      onCancelling: (job, isUnderWay) => this.workers.tell({ kind: 'cancelling', job, isUnderWay }),
+    });
   }
 
   private openSnapshotter({ held, head }: LeaderOptions, isCertain: () => boolean): Snapshotter {
--- a/src/actors/log.ts
+++ b/src/actors/log.ts
@@ -1,3 +1,4 @@
+/** Writes the leader's entries to the state service, as records of guarded transactions. */
 import { Subject } from 'rxjs';
 import type { State } from '../core/state.js';
 import type { Entry, JobId, LogRecord, RecordNo, Term } from '../core/types.js';
@@ -15,6 +16,24 @@
   done?: (ok: boolean) => void;
 }
 
+export interface LogOptions {
+  state: State;
+  store: Store;
+  clock: Clock;
+  logger: Logger;
+  /** Of the state service, as the settings have them. */
+  limits: { write_rps: number; value_kb: number; txn_ops: number };
+  term: Term;
+  /** The revision of the leader key: each write is guarded by it. */
+  stamp: number;
+  /** A write was refused: another leads. */
+  onDeposed: (why: string) => void;
+  /** A write was answered, after so many milliseconds. */
+  onWritten: (ms: number) => void;
+}
+
+/** Seconds of the write rate that may be used at once. */
+const BURST_S = 0.4;
 /** What one leader uses of the state service's writes. */
 const SHARE = 0.85;
 /** Entries that nobody waits for are gathered for so long, as the paper's batches are. */
@@ -31,7 +50,7 @@
 }
 
 /**
- * The leader's pen: group commits, one transaction at a time, each guarded by the leader key's
+ * The leader's writer of the log: group commits, one transaction at a time, each guarded by the leader key's
  * stamp. A burst fills several records of one transaction.
  */
 export class LogActor extends Actor<Append> {
@@ -41,24 +60,21 @@
   private writingSince = 0;
   private lastStart = -Infinity;
   private tag = 0;
+  private readonly state: State;
+  private readonly clock: Clock;
+  private readonly limits: LogOptions['limits'];
   private readonly bucket: TokenBucket;
   private cancelWait: Cancel | null = null;
   readonly committed = new Subject<{ no: RecordNo; record: LogRecord }>();
   readonly writes = { count: 0, ms: 0 };
 
-  constructor(
-    private readonly state: State,
-    private readonly store: Store,
-    private readonly clock: Clock,
-    private readonly limits: { write_rps: number; value_kb: number; txn_ops: number },
-    private readonly term: Term,
-    private readonly stamp: number,
-    private readonly log: Logger,
-    private readonly onDeposed: (why: string) => void,
-    private readonly measure: (ms: number) => void,
-  ) {
+  constructor(private readonly options: LogOptions) {
     super();
-    const burst = Math.max(1, Math.floor(limits.write_rps * 0.4));
+    const { clock, limits } = options;
+    this.state = options.state;
+    this.clock = clock;
+    this.limits = limits;
+    const burst = Math.max(1, Math.floor(limits.write_rps * BURST_S));
     this.bucket = new TokenBucket(clock, limits.write_rps * SHARE, burst);
   }
 
@@ -160,7 +176,7 @@
         items.push(w);
       }
       const entries = items.flatMap((i) => i.entries);
-      out.push({ items, record: { term: this.term, tag: ++this.tag, at, entries } });
+      out.push({ items, record: { term: this.options.term, tag: ++this.tag, at, entries } });
     }
     this.queue = all.slice(Math.max(used, this.urgent.length));
     this.urgent = this.urgent.slice(used);
@@ -182,19 +198,19 @@
     // as it is, and the guard on the absent keys lets only one of the repeats through.
     for (let settled = false; !settled;) {
       if (this.stopped) return this.drop(all);
-      const r = await this.store.txn(
-        [{ key: LEADER, stamp: this.stamp }, ...puts.map((p) => ({ key: p.put, stamp: 0 }))],
+      const r = await this.options.store.txn(
+        [{ key: LEADER, stamp: this.options.stamp }, ...puts.map((p) => ({ key: p.put, stamp: 0 }))],
         puts,
       );
       if (this.stopped) return this.drop(all);
       if (r.r === 'done') settled = true;
       else if (r.r === 'failed') {
-        const k = await this.store.get(puts[0]!.put);
+        const k = await this.options.store.get(puts[0]!.put);
         const v = k?.value as LogRecord | undefined;
         if (this.stopped) return this.drop(all);
-        if (v && v.term === this.term && v.tag === batches[0]!.record.tag) settled = true;
+        if (v && v.term === this.options.term && v.tag === batches[0]!.record.tag) settled = true;
         else if (k !== undefined) {
-          this.onDeposed(`record ${first} was refused (${r.keys.join(', ')})`);
+          this.options.onDeposed(`record ${first} was refused (${r.keys.join(', ')})`);
           return this.drop(all);
         } else await sleep(this.clock, 100);
       } else await sleep(this.clock, r.r === 'refused' ? 150 : 30);
@@ -202,7 +218,7 @@
     const took = this.clock.steady() - from;
     this.writes.count++;
     this.writes.ms += took;
-    this.measure(took);
+    this.options.onWritten(took);
     // Guards starts after a confirmed cancellation: a launch of the first record must not leave when the
     // cancellation in the second is written already.
     for (const [i, { record }] of batches.entries()) this.state.apply((first + i) as RecordNo, record);
@@ -210,7 +226,7 @@
       const no = (first + i) as RecordNo;
       for (const w of items) w.done?.(true);
       this.committed.next({ no, record });
-      this.log.debug({ no, entries: record.entries.map((e) => e.e) }, 'record written');
+      this.options.logger.debug({ no, entries: record.entries.map((e) => e.e) }, 'record written');
     }
     this.land();
     this.writing = false;
--- a/src/wire/settings.ts
+++ b/src/wire/settings.ts
@@ -1,7 +1,12 @@
+/** The platform's settings file: its checked form. */
 import * as z from 'zod';
 import type { Team } from '../core/types.js';
+import { addressProblem } from '../io/address.js';
 
-const hostPort = z.string().regex(/^[^:\s]+:\d+$/, 'must be host:port');
+const hostPort = z.string().superRefine((address, context) => {
+  const message = addressProblem(address);
+  if (message) context.addIssue({ code: 'custom', message });
+});
 const positive = z.number().gt(0);
 
 export const settingsSchema = z.object({
--- a/test/log.test.ts
+++ b/test/log.test.ts
@@ -18,7 +18,7 @@
   spec: { id: `wk-${i}`, image: 'x'.repeat(filler), tasks: 1 } as never,
 });
 
-describe('the pen', () => {
+describe('the writer of the log', () => {
   it('writes a burst as several records a transaction, and users before the rest', async () => {
     const time = new VirtualTime();
     const service = new FakeStateService(time, limits);
@@ -31,17 +31,12 @@
     }, 'state');
     service.kv.set('q/leader', { data: {}, stamp: 1 });
     const state = new State();
-    const log = new LogActor(
-      state,
-      store,
-      new NodeClock(time, 1, 0),
-      limits,
-      1 as never,
-      1,
-      silent,
-      () => expect.unreachable(),
-      () => {},
-    );
+    const log = new LogActor({
+      ...{ state, store, limits, logger: silent, term: 1 as never, stamp: 1 },
+      clock: new NodeClock(time, 1, 0),
+      onDeposed: () => expect.unreachable(),
+      onWritten: () => {},
+    });
     let user = Infinity;
     let rest = 0;
     log.tell({ entries: [job(0)] });
