Tests are named for behaviour: failover, cancellation, state service, machines, scheduling, ...

Need: 'stories', 'meetings' and 'ops' say nothing to a newcomer. Change: the same tests, moved by describe block into eight files; their shared steps have plain names in fakes/scenarios.ts.

--- a/test/direct-calls.test.ts
+++ b/test/direct-calls.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import { OneWorker, type CallFate } from './fakes/one-worker.js';
-import { begun, settle } from './fakes/stories.js';
+import { resolved, startWorld } from './fakes/scenarios.js';
 import type { World } from './fakes/world.js';
 
 // A direct call that gets no answer in time may still reach its worker, minutes later.
@@ -140,14 +140,14 @@
 
 /** Machines that have the image, and a job of which each got two copies of the start, the first held up. */
 async function heldUpStarts(seed: number): Promise<{ w: World; id: string }> {
-  const w = await begun(seed);
+  const w = await startWorld(seed);
   w.user(w.job({ shifts: 4, reckon_s: 4 }));
   await w.time.run(24_000);
   for (const machine of w.workers.keys()) w.network.mute(machine, 6000);
   const job = w.job({ shifts: 2, reckon_s: 400, waymark_s: 5, stow_s: 1 });
   holdFirstStarts(w, job.name_id, 64_000);
   w.checker.submitted(job);
-  await settle(w, w.ask('submit', job.name_id, job, w.leader()));
+  await resolved(w, w.ask('submit', job.name_id, job, w.leader()));
   // More for the same machines while the first calls are open: the second ones carry both, and it stays.
   w.time.after(1000, () => w.user(w.job({ shifts: 2, cpus: 1, reckon_s: 300 })));
   await w.time.run(9000);
@@ -175,7 +175,7 @@
 describe('a whole service whose calls are held up for a minute', () => {
   it('runs nothing of a job after its cancellation', async () => {
     const { w, id } = await heldUpStarts(250);
-    expect((await settle(w, w.ask('withdraw', id, undefined, w.leader()))).standing).toBe('aborted');
+    expect((await resolved(w, w.ask('withdraw', id, undefined, w.leader()))).standing).toBe('aborted');
     await w.time.run(70_000);
     w.checker.finish();
     expect(w.checker.broken).toEqual([]);
