Late copies of rentals, returns and renewals: what the postmortem says of them is now shown

Need: the postmortem called these paths sound from reading alone. Change: tests only. First copies of rentals and returns are held up for 20 to 40 s while their repeats are answered, or find no capacity; renewals of the lock take longer than its lease.

--- a/test/fakes/network.ts
+++ b/test/fakes/network.ts
@@ -32,7 +32,7 @@
   }
 
   /** How long a request is held back on its way, in ms; 0: not at all. Whoever sent it gets no answer. */
-  holds: (address: string, body: unknown) => number = () => 0;
+  holds: (address: string, body: unknown, path: string) => number = () => 0;
 
   /** '*' stands for every host. */
   cut(a: string, b: string, ms: number, hold = false): void {
@@ -151,7 +151,7 @@
             },
           );
         };
-        this.time.after(this.delay() + this.holds(address, body), arrive);
+        this.time.after(this.delay() + this.holds(address, body, path), arrive);
       });
   }
 }
--- /dev/null
+++ b/test/late-requests.test.ts
@@ -0,0 +1,85 @@
+import { describe, expect, it } from 'vitest';
+import { expectAllAnswered, expectAllOver, startWorld } from './fakes/scenarios.js';
+import { box, World } from './fakes/world.js';
+
+// A request without an answer may be carried out long after its repeat was answered.
+
+/** Holds the first copy of each request that the test means; its repeats get through. */
+function holdFirstCopies(
+  w: World,
+  ms: number,
+  keyOf: (address: string, body: unknown) => string | null,
+): Set<string> {
+  const held = new Set<string>();
+  w.network.holds = (address, body) => {
+    const key = keyOf(address, body);
+    if (key === null || held.has(key)) return 0;
+    held.add(key);
+    return ms;
+  };
+  return held;
+}
+
+const rentalOf = (address: string, body: unknown): string | null =>
+  address === 'cloud:1' ? ((body as { hire?: string } | undefined)?.hire ?? null) : null;
+const returnOf = (address: string, body: unknown): string | null =>
+  address === 'cloud:1' ? ((body as { mounts?: string[] } | undefined)?.mounts?.join() ?? null) : null;
+
+describe('a rental that is carried out late', () => {
+  it('after its repeat was answered rents nothing more', async () => {
+    const w = await startWorld(260);
+    const held = holdFirstCopies(w, 30_000, rentalOf);
+    w.user(w.job({ shifts: 12, reckon_s: 20 }));
+    await expectAllOver(w, 200);
+    expect(held.size).toBeGreaterThan(0);
+    await w.time.run(120_000);
+    expect(w.cloud.machines.size).toBe(0);
+  });
+
+  it('after its repeat found no capacity: the machines that nobody logged are used or returned', async () => {
+    const w = new World(261, [box]);
+    for (const zone of ['a', 'b'])
+      for (const spot of [true, false]) w.cloud.room.set(`box|${zone}|${spot}`, 0);
+    await w.started();
+    const held = holdFirstCopies(w, 20_000, rentalOf);
+    w.user(w.job({ shifts: 12, reckon_s: 20 }));
+    await w.time.run(15_000);
+    expect(held.size).toBeGreaterThan(0);
+    for (const zone of ['a', 'b'])
+      for (const spot of [true, false]) w.cloud.room.set(`box|${zone}|${spot}`, 3);
+    await expectAllOver(w, 300);
+    await w.time.run(150_000);
+    expect(w.cloud.machines.size).toBe(0);
+  });
+});
+
+describe('a return that is carried out late', () => {
+  it('after its repeat was answered takes no machine that is at work', async () => {
+    const w = await startWorld(262);
+    const held = holdFirstCopies(w, 40_000, returnOf);
+    for (let i = 0; i < 4; i++) w.time.after(i * 90_000, () => w.user(w.job({ shifts: 6, reckon_s: 20 })));
+    await w.time.run(280_000);
+    await expectAllOver(w, 200);
+    expect(held.size).toBeGreaterThan(0);
+    await w.time.run(150_000);
+    expect(w.cloud.machines.size).toBe(0);
+  });
+});
+
+describe('a renewal of the lock that is carried out late', () => {
+  it('makes nobody lead who lost it, and another leads within the time of two leases', async () => {
+    const w = await startWorld(263);
+    w.user(w.job({ shifts: 8, reckon_s: 60 }));
+    await w.time.run(20_000);
+    const was = w.leader();
+    // From now on each renewal takes 4 s: longer than the lease of 2.5 s.
+    w.network.holds = (address, _body, path) =>
+      address === `state-for-n${was}:1` && path.endsWith('/touch') ? 4000 : 0;
+    await w.time.run(7500);
+    expect(w.leader()).not.toBe(was);
+    expect(w.leader()).toBeGreaterThanOrEqual(0);
+    w.network.holds = () => 0;
+    await expectAllAnswered(w);
+    await expectAllOver(w, 300);
+  });
+});
