--- a/test/fakes/scenarios.ts
+++ b/test/fakes/scenarios.ts
@@ -77,6 +77,25 @@
   for (const o of [0, 1, 2]) w.network.cut(`n${n}`, `n${o}:81`, ms);
 };
 
+/**
+ * Holds the first copy of each request that is meant, by a key of its own (null: not meant); its repeats get
+ * through. Gives the keys of what was held.
+ */
+export function holdFirstCopies(
+  w: World,
+  ms: number,
+  keyOf: (address: string, body: unknown) => string | null,
+): ReadonlySet<string> {
+  const held = new Set<string>();
+  w.network.holds = (address, body) => {
+    const key = keyOf(address, body);
+    if (key === null || held.has(key)) return 0;
+    held.add(key);
+    return ms;
+  };
+  return held;
+}
+
 /** Long work that is to be cancelled, and some that is not. */
 export const work = (w: World): { doomed: JobOnWire[]; kept: JobOnWire } => {
   const doomed = [0, 1, 2].map(() => w.job({ shifts: 6, reckon_s: 400, kit: 'img-0' }));
--- a/test/workers.test.ts
+++ b/test/workers.test.ts
@@ -11,6 +11,7 @@
 const MACHINES = 1260;
 const MOST = 150;
 
+/** A leader that holds its lock, with what it tells the log. */
 const leading = (
   state: State,
   time: VirtualTime,
