KNOWN-RED.txt: an entry has its command and what was seen; no bound of three

Replaced by stricter ones: a missing field is named with its line, and a command that doesn't run the test's file is refused.

--- a/tools/ci/known-red.ts
+++ b/tools/ci/known-red.ts
@@ -3,14 +3,17 @@
  * tests agrees with it.
  */
 
-/** More known failures than this are not accepted. */
-export const MOST_KNOWN_RED = 3;
+/** The fields of a line, in order. */
+const FIELDS = ['test', 'command', 'seen', 'issue'] as const;
 
-/** One line of the file: `test | cause | issue`. */
+/** One line of the file: `test | command | seen | issue`. */
 export interface KnownRed {
   /** As the runner names it: `file > suite > test`. */
   test: string;
-  cause: string;
+  /** Runs that test alone, with its seed where it takes one, and fails. */
+  command: string;
+  /** What was seen. */
+  seen: string;
   issue: string;
 }
 
@@ -26,20 +29,22 @@
   problems: string[];
 }
 
-/** Reads the file's text. Throws an Error that names the line when it can't be accepted. */
+/** Reads the file's text. Throws an Error that names the line and the field when it can't be accepted. */
 export function readKnownRed(text: string): KnownRed[] {
-  const lines = text.split('\n').filter((line) => line.trim() !== '');
-  if (lines.length > MOST_KNOWN_RED)
-    throw new Error(`KNOWN-RED.txt: ${lines.length} lines, at most ${MOST_KNOWN_RED} are accepted`);
-  return lines.map(readLine);
+  const lines = text.split('\n').map((line, index) => ({ line, number: index + 1 }));
+  return lines.filter(({ line }) => line.trim() !== '').map(({ line, number }) => readLine(line, number));
 }
 
-function readLine(line: string): KnownRed {
+function readLine(line: string, number: number): KnownRed {
+  const problem = (what: string): Error => new Error(`KNOWN-RED.txt, line ${number}: ${what}`);
   const parts = line.split(' | ').map((part) => part.trim());
-  const [test, cause, issue] = parts;
-  if (parts.length !== 3 || !test || !cause || !issue)
-    throw new Error(`KNOWN-RED.txt: expected "test | cause | issue", found "${line}"`);
-  return { test, cause, issue };
+  if (parts.length > FIELDS.length) throw problem(`expected "${FIELDS.join(' | ')}", found "${line}"`);
+  for (const [index, field] of FIELDS.entries())
+    if (!parts[index]) throw problem(`the field "${field}" is missing`);
+  const [test, command, seen, issue] = parts as [string, string, string, string];
+  const file = test.split(' > ')[0]!;
+  if (!command.includes(file)) throw problem(`the field "command" doesn't run ${file}`);
+  return { test, command, seen, issue };
 }
 
 /**
--- a/tools/ci/run-tests.ts
+++ b/tools/ci/run-tests.ts
@@ -41,8 +41,8 @@
   problems.push(...vitest.state.getUnhandledErrors().map((error) => `unhandled: ${String(error)}`));
   if (outcomes.length === 0) problems.push('no test was run');
   await vitest.close();
-  for (const { test, cause, issue } of tolerated)
-    process.stdout.write(`known red: ${test} | ${cause} | ${issue}\n`);
+  for (const { test, command, seen, issue } of tolerated)
+    process.stdout.write(`known red: ${test} | ${seen} | ${issue}\n  ${command}\n`);
   for (const problem of problems) process.stdout.write(`problem: ${problem}\n`);
   const count = (state: TestOutcome['state']): number => outcomes.filter((o) => o.state === state).length;
   process.stdout.write(`tests: ${count('passed')} passed, ${count('failed')} failed\n`);
