Red: late answers of the state service, log writes, and a hand-over to nobody

The bounds are the aim's, written before the mend: two leases and a take-over until somebody leads, at most each node once in the lead; four leases before a leader whose writes don't get through gives way.

--- a/test/fakes/network.ts
+++ b/test/fakes/network.ts
@@ -34,6 +34,9 @@
   /** How long a request is held back on its way, in ms; 0: not at all. Whoever sent it gets no answer. */
   holds: (address: string, body: unknown, path: string) => number = () => 0;
 
+  /** How long the answer to a request is held back on its way, in ms: it was carried out in time. */
+  holdsAnswer: (address: string, path: string) => number = () => 0;
+
   /** '*' stands for every host. */
   cut(a: string, b: string, ms: number, hold = false): void {
     this.cuts.push({ a, b, hold, until: this.time.now + ms });
@@ -142,7 +145,7 @@
             (a) => {
               if (!a) return;
               const back = JSON.stringify(a.body);
-              this.time.after(this.delay(), () => {
+              this.time.after(this.delay() + this.holdsAnswer(address, path), () => {
                 if (this.cutBetween(from, address) || !this.hears(from)) return;
                 this.awake(from, () =>
                   end({ status: a.status, body: back === undefined ? undefined : JSON.parse(back) }),
