Late answers of the state service keep nobody from leading; no hand-over to nobody

Symptoms: (1) renewals answered after 1.2 s kept the lease alive, their holder was never certain and kept all others out; (2) a leader certain of its lock got no record through while answers to its writes took longer than 1.2 s; (3) a new leader that no worker had reached after 5.5 s gave the lock to nobody, and held off for 8 s while workers came.

Causes: (1, 2) every request was given up after 1.2 s, whatever a late answer could still prove, and nothing ended a right that its holder can't use; (3) a constant in place of the time that workers need (10 s with two nodes gone), and no look for an heir.

Mends: KeptLease waits for an answer as long as it proves something, and renews from when the lease is made, during a take-over too; WriteCopies counts the answer to any copy; a take-over's reads wait as long, and go out together. StateServiceDoubt: the holder gives way when a peer is answered in time for a lease's time while it isn't, or its records don't get through for four; a node that gave way is no evidence for a minute, so that what slows all of them down moves the lock at most once to each. WorkerReach: only to a peer that workers go on asking, heard directly or, by a leader cut off from its peers, through claims in the state service. Unreadable leader and term values and statuses prove nothing, and are logged once.

The 5 s of a lease in hearsNobody are gone: silence is a missed report (report_s x 1.25 + 2 s), as for work.

--- a/src/actors/controller.ts
+++ b/src/actors/controller.ts
@@ -1,30 +1,24 @@
 /** One node: follows the log, contends for the lock, leads while it holds it. */
 import { dumpState } from '../core/state-dump.js';
-import type { Command, Fence, Steady, Term, WorkerReport } from '../core/types.js';
+import type { Command, Fence, NodeId, Steady, Term, WorkerReport } from '../core/types.js';
 import type { Peers, PeerStatus } from '../io/peers.js';
 import { sleep } from '../io/clock.js';
-import { LEADER, type LeaderValue } from '../wire/keys.js';
+import { LEADER, readLeaderValue, type LeaderValue } from '../wire/keys.js';
 import { Follower } from './follower.js';
 import { LeaderActor, type LeaderPorts } from './leader.js';
-import { Lock } from './lock.js';
+import { HandOver } from './hand-over.js';
+import { HEARD_LATELY_MS, LeaderSight } from './leader-sight.js';
+import type { RenewalFigures } from './lease.js';
+import { Lock, lockMs } from './lock.js';
+import { STATUS_FRESH_MS } from './state-service-doubt.js';
 import { UncertainAnswers } from './uncertain-answers.js';
 import { UserRequests } from './user-requests.js';
 import type { WorkerFigures } from './workers.js';
 
-/** The shortest lease of the leader key. */
-const LOCK_MS = 2500;
-/** Processor time that may pass between two renewals: on a small share of a core it takes longer. */
-const LOCK_PROCESSOR_MS = 340;
-/** Of a worker's lease: a take-over after the leader's end has to fit in with the rest of it. */
-const LOCK_OF_WORKER_LEASE = 1 / 3;
-
-/** The lease of the leader key: a leader must not lose it to its own work. */
-export const lockMs = (cpuShare: number, workerLeaseS: number): number =>
-  Math.round(
-    Math.max(LOCK_MS, Math.min(LOCK_PROCESSOR_MS / cpuShare, workerLeaseS * 1000 * LOCK_OF_WORKER_LEASE)),
-  );
-const DEAF_MS = 5500;
-const HOLD_OFF_MS = 8000;
+const WATCHDOG_MS = 700;
+const HAND_OVER_CHECK_MS = 250;
+/** A node that hears of no leader counts as ready for so long: each removal costs a longer pause. */
+const LEADERLESS_READY_MS = 8000;
 /** Added to the lock's time: longer than a dead leader's lock lasts. */
 const APART_AFTER_MS = 700;
 
@@ -43,10 +37,9 @@
   private highest = 0;
   private peers: Peers | null = null;
   private contending = false;
-  private notBefore = -Infinity;
-  /** Workers that asked here while another led, and when. */
-  private readonly callers = new Map<string, number>();
-  private leaderSeen = -Infinity;
+  private readonly handOver: HandOver;
+  private readonly lockMs: number;
+  private readonly sight: LeaderSight;
   private readonly apartMs: number;
   /** When this node last had a link to the leader, or knew of none. */
   private linkedAt = -Infinity;
@@ -60,14 +53,21 @@
     private readonly ports: LeaderPorts,
     private readonly run: string,
   ) {
-    const { clock, store, logger, settings } = ports;
+    const { clock, store, logger, measure, settings } = ports;
     this.remembers = clock.steady();
+    this.sight = new LeaderSight(clock);
     const { machine_limits, workers } = settings.cluster;
-    const lock = lockMs(machine_limits.cpu_share, workers.lease_s);
-    this.apartMs = lock + APART_AFTER_MS;
-    this.lock = new Lock(store, clock, { node: settings.node, term: 0, run }, lock, logger, (why) =>
-      this.stepDown(why),
-    );
+    this.lockMs = lockMs(machine_limits.cpu_share, workers.lease_s);
+    this.apartMs = this.lockMs + APART_AFTER_MS;
+    this.lock = new Lock({
+      ...{ store, clock, logger, measure, lifeMs: this.lockMs },
+      me: { node: settings.node, term: 0, run },
+      onLost: (why) => this.stepDown(why),
+    });
+    this.handOver = new HandOver({
+      ...{ clock, logger, store, lock: this.lock, lifeMs: this.lockMs },
+      ...{ me: settings.node as NodeId, others: settings.seeds.length },
+    });
     this.follower = new Follower(store, clock, logger, {
       free: () => this.contend(),
       leader: (v) => {
@@ -94,49 +94,57 @@
     await this.endFormerLease();
     void this.follower.run();
     this.watchdog();
+    this.checkHandOver();
+  }
+
+  private checkHandOver(): void {
+    this.ports.clock.after(HAND_OVER_CHECK_MS, () => this.checkHandOver());
+    void this.handOver.check(this.leading, this.peers?.statuses() ?? []);
   }
 
-  /** A leader that no longer tells its peers that it leads is looked for in the state service. */
+  /** Looks again and again who leads, and whether this node should. */
   private watchdog(): void {
     const { clock } = this.ports;
-    clock.after(700, () => this.watchdog());
-    const to = this.otherLeader();
-    if (!to || this.peers?.linked(to)) this.linkedAt = clock.steady();
-    // Guards the workers' leases: while the state service is out nobody could take over from this node.
-    if (this.leading && this.lock.certain() && this.deaf(this.leading)) {
-      this.notBefore = clock.steady() + HOLD_OFF_MS;
-      this.lock.release('no worker reaches this node');
-    }
-    if (this.leading || clock.steady() - this.leaderSeen < 1500) return;
+    clock.after(WATCHDOG_MS, () => this.watchdog());
+    const leaderElsewhere = this.otherLeader();
+    if (!leaderElsewhere || this.peers?.linked(leaderElsewhere)) this.linkedAt = clock.steady();
+    if (this.lock.holding) return;
+    this.claimReach();
+    // A leader that no longer tells its peers that it leads is looked for in the state service.
+    if (this.sight.isSeen() && !this.sight.isInDoubt()) return;
+    this.lookForLeader();
+  }
+
+  private lookForLeader(): void {
     void this.follower.checkLeader().then((free) => (free ? this.contend() : undefined));
   }
 
+  /** Tells a leader that can't be heard, and that the state service names, that workers ask here. */
+  private claimReach(): void {
+    const { clock } = this.ports;
+    const isNamed = clock.steady() - this.follower.answeredInTimeAt < STATUS_FRESH_MS;
+    const isUnheard = clock.steady() - this.linkedAt > STATUS_FRESH_MS || !this.sight.isSeen();
+    const workers = this.sight.countCallers();
+    if (this.leader && this.otherLeader() && isNamed && isUnheard && workers > 0)
+      this.handOver.claimReach(this.leader.term as Term, workers);
+  }
+
   /** A lock still held by an earlier run of this node holds nobody: that run is over. */
   private async endFormerLease(): Promise<void> {
     const { store, settings } = this.ports;
     const k = await store.get(LEADER);
-    const v = k?.value as LeaderValue | undefined;
+    const v = k ? readLeaderValue(k.value) : null;
     if (k && k.lease !== null && v?.node === settings.node && v.run !== this.run)
       await store.endLease(k.lease);
   }
 
-  /**
-   * A leader that no worker reaches leads nobody, though it may hold its lock for as long as it
-   * likes: it hands over when a peer is reached by workers, or when it hears no peer either.
-   */
-  private deaf(l: LeaderActor): boolean {
-    if (!l.workers.intake.hearsNobody(DEAF_MS)) return false;
-    const fresh = this.heard(3000);
-    return fresh.length === 0 || fresh.some((p) => p.workers > 0);
-  }
-
   /** Peers heard lately. */
   private heard(withinMs: number): PeerStatus[] {
     return (this.peers?.statuses() ?? []).filter((p) => p.age < withinMs).map((p) => p.status);
   }
 
   private async contend(): Promise<void> {
-    if (this.ports.clock.steady() < this.notBefore) return;
+    if (!this.handOver.mayContend()) return;
     if (this.contending || this.lock.holding) return;
     this.contending = true;
     try {
@@ -160,7 +168,7 @@
     this.follower.pause();
     for (;;) {
       if (!this.lock.holding || this.lock.holding.term !== held.term) return;
-      if (await this.follower.catchUp()) break;
+      if (await this.follower.catchUp(this.lockMs)) break;
       await sleep(clock, 100);
     }
     if (this.lock.holding?.term !== held.term) return;
@@ -199,8 +207,9 @@
   }
 
   /** Figures of the calls to workers, while this node leads; empty otherwise. */
-  leaderFigures(): Partial<WorkerFigures> {
-    return this.leading?.workers.figures() ?? {};
+  leaderFigures(): Partial<WorkerFigures> & { renewals?: RenewalFigures } {
+    const renewals = this.lock.figures();
+    return { ...this.leading?.workers.figures(), ...(renewals ? { renewals } : {}) };
   }
 
   /** What this node would fold now. */
@@ -219,19 +228,16 @@
       leaderTerm: this.leader?.term ?? 0,
       takingOver: this.lock.contending,
       remembersMs: Math.min(1e12, clock.steady() - this.remembers),
-      workers: this.leading?.workers.intake.countHeard(4000) ?? this.called(),
+      workers: this.leading?.workers.intake.countHeard(HEARD_LATELY_MS) ?? this.sight.countCallers(),
       stateAge: this.leading
         ? this.lock.uncertainFor()
         : Math.min(1e9, clock.steady() - this.follower.lastAnswer),
+      reachesState: clock.steady() - this.follower.answeredInTimeAt < STATUS_FRESH_MS,
+      inDoubt: this.handOver.isInDoubt,
+      gaveWay: this.handOver.gaveWayLately(),
     };
   }
 
-  private called(): number {
-    const from = this.ports.clock.steady() - 4000;
-    for (const [m, at] of this.callers) if (at < from) this.callers.delete(m);
-    return this.callers.size;
-  }
-
   /** What a peer says of itself; asked: when the question was put that it answers. */
   peerStatus(s: PeerStatus, asked?: Steady): void {
     this.higher(s.term as Term);
@@ -241,7 +247,10 @@
       this.leader = { node: s.leader, term: s.leaderTerm, run: '' };
     }
     if (asked !== undefined) this.uncertainAnswers.vouch(s, asked);
-    if (s.leading) this.leaderSeen = this.ports.clock.steady();
+    const wasInDoubt = this.sight.isInDoubt();
+    this.sight.note(s);
+    // The leader waits to hear whether the state service answers this node.
+    if (this.sight.isInDoubt() && !wasInDoubt && !this.lock.holding) this.lookForLeader();
   }
 
   /** Whether this node can take requests. Slow to say no: each removal costs a longer pause. */
@@ -253,13 +262,13 @@
     // The state service names a leader that outlived its lease, and no link to it can be had.
     if (now - this.linkedAt > this.apartMs && this.follower.lastAnswer - this.linkedAt > this.apartMs)
       return false;
-    return now - this.leaderSeen < 8000;
+    return this.sight.isSeen(LEADERLESS_READY_MS);
   }
 
   hello(r: WorkerReport, reply: (h: Hello) => void): void {
     const l = this.leading;
     if (!l) {
-      this.callers.set(r.machine, this.ports.clock.steady());
+      this.sight.noteCaller(r.machine);
       return reply({ answer: 'elsewhere', leader: this.otherLeader() });
     }
     l.workers.tell({
@@ -273,6 +282,7 @@
   }
 
   private otherLeader(): string | null {
-    return this.leader && this.leader.node !== this.ports.settings.node ? this.leader.node : null;
+    const node = this.leader?.node;
+    return node && node !== this.ports.settings.node ? node : null;
   }
 }
--- a/src/actors/first-reports.ts
+++ b/src/actors/first-reports.ts
@@ -7,10 +7,9 @@
 import type { MachineId, Steady } from '../core/types.js';
 import type { Clock } from '../io/clock.js';
 import type { NodePace } from './node-pace.js';
+import { REPORT_SPREAD } from './report-intake.js';
 import type { WorkerView } from './worker-view.js';
 
-/** Reports come give or take a quarter of their period. */
-const REPORT_SPREAD = 1.25;
 /** For the way of the last report, and its handling. */
 const REPORT_WAY_MS = 500;
 
--- a/src/actors/follower.ts
+++ b/src/actors/follower.ts
@@ -13,7 +13,8 @@
   type HeadValue,
   type LeaderValue,
 } from '../wire/keys.js';
-import type { Revision, Stamp, Store } from '../wire/store.js';
+import { ANSWER_MS, LIST_MS, type Item, type Revision, type Stamp, type Store } from '../wire/store.js';
+import { KeyValues } from './key-values.js';
 import { SingleFlight } from './single-flight.js';
 import { unpack } from './snapshot.js';
 
@@ -34,7 +35,10 @@
   head: Head = NO_HEAD;
   /** Steady time of the last answer of the state service. */
   lastAnswer = -Infinity;
+  /** Steady time of its last answer that came in the usual time. */
+  answeredInTimeAt = -Infinity;
   private revision: Revision = 0;
+  private readonly values: KeyValues;
   private paused = false;
   private stopped = false;
 
@@ -50,6 +54,7 @@
       term: (t: Term) => void;
     },
   ) {
+    this.values = new KeyValues(log);
     this.reads = new SingleFlight(clock, READ_APART_MS, () => this.read());
   }
 
@@ -86,7 +91,7 @@
       let deposed = false;
       for (const c of w.changes) {
         if (c.key === LEADER) {
-          this.setLeader(c.removed ? null : (c.value as LeaderValue));
+          this.setLeader(c.removed ? null : this.values.leader(c.value));
           deposed ||= c.removed;
         } else if (c.key === TERM && !c.removed) this.setTerm(c.value);
         else if (c.key === HEAD && !c.removed) this.setHead(c);
@@ -106,8 +111,8 @@
     if (!this.loaded || this.paused) return false;
     const k = await this.store.get(LEADER);
     if (k === undefined || this.paused) return false;
-    this.lastAnswer = this.clock.steady();
-    const v = k === null ? null : (k.value as LeaderValue);
+    this.lastAnswer = this.answeredInTimeAt = this.clock.steady();
+    const v = k === null ? null : this.values.leader(k.value);
     if (v?.run !== this.leader?.run || v?.term !== this.leader?.term) this.setLeader(v);
     return v === null;
   }
@@ -117,8 +122,9 @@
     this.on.leader(v);
   }
 
-  private setTerm(v: unknown): void {
-    this.on.term((v as { term: Term } | undefined)?.term ?? (0 as Term));
+  private setTerm(value: unknown): void {
+    const term = this.values.term(value);
+    if (term !== null) this.on.term(term);
   }
 
   private setHead(i: { value: unknown; stamp: Stamp } | null): void {
@@ -165,16 +171,16 @@
     this.lastAnswer = this.clock.steady();
     this.setHead(head);
     this.setTerm(term?.value);
-    this.setLeader((leader?.value as LeaderValue | undefined) ?? null);
+    this.setLeader(leader ? this.values.leader(leader.value) : null);
     this.log.info({ next: this.state.next }, 'state read on');
     return this.loaded;
   }
   private ledUntilNow = false;
 
   /** Reads snapshot and records. False when that could not be done now. */
-  async load(): Promise<boolean> {
+  async load(patienceMs = 0): Promise<boolean> {
     const from = this.clock.steady();
-    const all = await this.store.list(ROOT, null);
+    const all = await this.store.list(ROOT, null, Math.max(LIST_MS, patienceMs));
     if (!all) return false;
     const keys = new Map(all.items.map((i) => [i.key, i.value]));
     const head = (keys.get(HEAD) as HeadValue | undefined) ?? { upto: 0, chunks: 0 };
@@ -197,7 +203,7 @@
     this.loaded = true;
     this.lastAnswer = this.clock.steady();
     this.setTerm(keys.get(TERM));
-    this.setLeader((keys.get(LEADER) as LeaderValue | undefined) ?? null);
+    this.setLeader(keys.has(LEADER) ? this.values.leader(keys.get(LEADER)) : null);
     this.log.info({ next: state.next, ms: Math.round(this.clock.steady() - from) }, 'state loaded');
     return true;
   }
@@ -227,27 +233,38 @@
 
   /** Reads what was written after the last record known here, and applies it if it still may be. */
   private async readOn(may: () => boolean): Promise<boolean> {
-    const rest = await this.store.list(RECORDS, recordKey(this.state.next - 1));
+    const records = await this.store.list(RECORDS, recordKey(this.state.next - 1));
     // Nothing after ours: either all is here, or it was folded meanwhile.
-    const h = rest?.items.length === 0 ? await this.store.get(HEAD) : null;
-    if (!rest || h === undefined || !may()) return false;
+    const head = records?.items.length === 0 ? await this.store.get(HEAD) : null;
+    if (!records || head === undefined || !may()) return false;
+    return this.takeRest(records.items, head);
+  }
+
+  /** Applies what follows the last record known here; false when it was folded, so that all has to be loaded. */
+  private takeRest(records: Item[], head: Item | null): boolean {
     this.lastAnswer = this.clock.steady();
-    const first = rest.items[0];
-    const folded = first
+    const first = records[0];
+    const isFolded = first
       ? recordOf(first.key) > this.state.next
-      : h && (h.value as HeadValue).upto >= this.state.next;
-    if (folded) this.loaded = false;
-    else for (const i of rest.items) this.take(recordOf(i.key), i.value as LogRecord);
+      : head !== null && (head.value as HeadValue).upto >= this.state.next;
+    if (isFolded) this.loaded = false;
+    else for (const { key, value } of records) this.take(recordOf(key), value as LogRecord);
     return this.loaded;
   }
 
-  /** Reads on to take over; what was folded meanwhile is read anew with the snapshot. */
-  async catchUp(): Promise<boolean> {
-    if (!(await this.readOn(() => true)) && (this.loaded || !(await this.load()))) return false;
-    // Nobody but this node writes the head from now on.
-    const h = await this.store.get(HEAD);
-    if (h === undefined) return false;
-    this.setHead(h);
+  /**
+   * Reads on to take over; what was folded meanwhile is read anew with the snapshot. Answers may take as long as
+   * the lock lasts. Nobody but this node writes records or the head from now on, so they can be asked for at once.
+   */
+  async catchUp(patienceMs: number): Promise<boolean> {
+    if (!this.loaded) return this.load(patienceMs);
+    const [records, head] = await Promise.all([
+      this.store.list(RECORDS, recordKey(this.state.next - 1), Math.max(LIST_MS, patienceMs)),
+      this.store.get(HEAD, Math.max(ANSWER_MS, patienceMs)),
+    ]);
+    if (!records || head === undefined) return false;
+    if (!this.takeRest(records.items, head)) return this.load(patienceMs);
+    this.setHead(head);
     return true;
   }
 
--- /dev/null
+++ b/src/actors/leader-sight.ts
@@ -0,0 +1,42 @@
+/** What a node hears of the leader from its peers, and of workers that ask here while another leads. */
+import type { MachineId, Steady } from '../core/types.js';
+import type { Clock } from '../io/clock.js';
+import type { PeerStatus } from '../io/peers.js';
+import { STATUS_FRESH_MS } from './state-service-doubt.js';
+
+/** Workers count as heard for so long: a report's time and some more. */
+export const HEARD_LATELY_MS = 4000;
+
+export class LeaderSight {
+  private seenAt = -Infinity;
+  private inDoubtAt = -Infinity;
+  private readonly callers = new Map<MachineId, Steady>();
+
+  constructor(private readonly clock: Clock) {}
+
+  note(status: PeerStatus): void {
+    if (status.leading) this.seenAt = this.clock.steady();
+    if (status.inDoubt) this.inDoubtAt = this.clock.steady();
+  }
+
+  /** Whether a peer said within that time that it leads, with a lock that is certain. */
+  isSeen(withinMs = STATUS_FRESH_MS): boolean {
+    return this.clock.steady() - this.seenAt < withinMs;
+  }
+
+  /** Whether the holder of the lock said lately that it gets little done at the state service. */
+  isInDoubt(): boolean {
+    return this.clock.steady() - this.inDoubtAt < STATUS_FRESH_MS;
+  }
+
+  noteCaller(machine: MachineId): void {
+    this.callers.set(machine, this.clock.steady());
+  }
+
+  /** Workers that asked here lately. */
+  countCallers(): number {
+    const from = this.clock.steady() - HEARD_LATELY_MS;
+    for (const [machine, at] of this.callers) if (at < from) this.callers.delete(machine);
+    return this.callers.size;
+  }
+}
--- a/src/actors/lock.ts
+++ b/src/actors/lock.ts
@@ -1,135 +1,165 @@
+/** The lock of the leader: a key on a lease, taken together with the next term. */
 import type { Term } from '../core/types.js';
-import type { Clock } from '../io/clock.js';
+import { sleep, type Clock } from '../io/clock.js';
 import type { Logger } from '../io/logger.js';
+import type { Measure } from '../io/metrics.js';
 import { LEADER, TERM, type LeaderValue } from '../wire/keys.js';
 import type { LeaseId, Stamp, Store } from '../wire/store.js';
+import { KeptLease, type RenewalFigures } from './lease.js';
+
+/** The shortest lease of the leader key. */
+const SHORTEST_LOCK_MS = 2500;
+/** Processor time that may pass between two renewals: on a small share of a core it takes longer. */
+const LOCK_PROCESSOR_MS = 340;
+/** Of a worker's lease: a take-over after the leader's end has to fit in with the rest of it. */
+const LOCK_OF_WORKER_LEASE = 1 / 3;
+/** Times that the leader key is read when the transaction that takes it got no answer. */
+const MOST_READS = 3;
+const READS_APART_MS = 100;
+
+/** The lease of the leader key, in milliseconds: a leader must not lose it to its own work. */
+export const lockMs = (cpuShare: number, workerLeaseS: number): number => {
+  const longest = workerLeaseS * 1000 * LOCK_OF_WORKER_LEASE;
+  return Math.round(Math.max(SHORTEST_LOCK_MS, Math.min(LOCK_PROCESSOR_MS / cpuShare, longest)));
+};
 
 export interface Held {
   term: Term;
   stamp: Stamp;
 }
 
-/** The worst difference between two steady clocks, doubled. */
-export const DRIFT = 0.001;
+export interface LockOptions {
+  store: Store;
+  clock: Clock;
+  logger: Logger;
+  measure: Measure;
+  /** Who takes it; the term is filled in. */
+  me: LeaderValue;
+  /** The lease's time, in milliseconds. */
+  lifeMs: number;
+  onLost: (why: string) => void;
+}
 
-/**
- * The leader key on a lease of ours. Its time counts from when the renewal was sent: the lease
- * can't have started earlier than that, so it can't end before what is believed here.
- */
 export class Lock {
-  private lease: LeaseId | null = null;
-  private until = -Infinity;
+  /** A take-over is under way: what becomes of it is not known. */
+  contending = false;
+  private lease: KeptLease | null = null;
   private held: Held | null = null;
-  private stopRenewing: (() => void) | null = null;
 
-  constructor(
-    private readonly store: Store,
-    private readonly clock: Clock,
-    private readonly me: LeaderValue,
-    private readonly ttl: number,
-    private readonly log: Logger,
-    private readonly onLost: (why: string) => void,
-  ) {}
+  constructor(private readonly options: LockOptions) {}
 
   /** Past this a leader decides nothing and asserts nothing that could have changed. */
   certain(): boolean {
-    return this.held !== null && this.clock.steady() < this.until;
+    return this.held !== null && this.lease !== null && this.lease.isValid();
   }
 
   /** Until when the lock is certain, or was. */
   get endsAt(): number {
-    return this.until;
+    return this.held && this.lease ? this.lease.endsAt : -Infinity;
   }
 
-  /** A take-over is under way: what becomes of it is not known. */
-  contending = false;
-
   /** Milliseconds since the lock was last certain; 0 while it is. */
   uncertainFor(): number {
-    return Math.max(0, this.clock.steady() - this.until);
+    return Math.max(0, this.options.clock.steady() - this.endsAt);
+  }
+
+  /** Milliseconds since a renewal was answered in time; 0 without the lock. */
+  get untimelyMs(): number {
+    return this.held && this.lease ? this.lease.untimelyMs : 0;
   }
 
   get holding(): Held | null {
     return this.held;
   }
 
+  /** Of the lock that is held, or was held last. */
+  figures(): RenewalFigures | null {
+    return this.lease?.figures ?? null;
+  }
+
   /** Tries to take the free lock. The term is raised in the same transaction. */
   async contend(): Promise<Held | null> {
-    const t = await this.store.get(TERM);
-    if (t === undefined) return null;
-    const old = t === null ? 0 : (t.value as { term: number }).term;
-    const sent = this.clock.steady();
-    const lease = await this.store.lease(this.ttl);
-    if (lease === undefined) return null;
-    const term = (old + 1) as Term;
+    const { lifeMs, store } = this.options;
+    const former = await store.get(TERM, lifeMs);
+    if (former === undefined) return null;
+    const term = ((former === null ? 0 : (former.value as { term: number }).term) + 1) as Term;
+    const lease = await this.newLease();
+    if (!lease) return null;
     this.contending = true;
-    const stamp = await this.take(lease, term, t?.stamp ?? 0);
+    const stamp = await this.take(lease.id, term, former?.stamp ?? 0);
     this.contending = false;
-    if (stamp === null) {
-      void this.store.endLease(lease);
+    if (stamp === null || this.lease !== lease) {
+      void lease.end();
       return null;
     }
-    this.lease = lease;
-    this.until = sent + this.ttl * (1 - DRIFT);
     this.held = { term, stamp };
-    this.renewLoop();
     return this.held;
   }
 
+  /** A lease that is renewed from now on: what is still to be asked may take longer than it lasts. */
+  private async newLease(): Promise<KeptLease | null> {
+    const { clock, lifeMs, logger, measure, store } = this.options;
+    const askedAt = clock.steady();
+    const id = await store.lease(lifeMs, lifeMs);
+    if (id === undefined) return null;
+    const lease: KeptLease = new KeptLease({
+      ...{ store, clock, logger, measure, id, lifeMs, askedAt },
+      onEnded: () => this.leaseEnded(lease),
+    });
+    this.lease = lease;
+    return lease;
+  }
+
+  private leaseEnded(lease: KeptLease): void {
+    lease.stop();
+    if (this.lease !== lease) return;
+    if (this.held) this.lose('the lease ended');
+    else this.lease = null;
+  }
+
   private async take(lease: LeaseId, term: Term, termStamp: Stamp): Promise<Stamp | null> {
-    const r = await this.store.txn(
+    const { lifeMs, me, store } = this.options;
+    const answer = await store.txn(
       [
         { key: LEADER, stamp: 0 },
         { key: TERM, stamp: termStamp },
       ],
       [
-        { put: LEADER, value: { ...this.me, term }, lease },
+        { put: LEADER, value: { ...me, term }, lease },
         { put: TERM, value: { term } },
       ],
+      lifeMs,
     );
-    if (r.r === 'done') return r.revision;
-    if (r.r !== 'unknown') return null;
-    const k = await this.store.get(LEADER);
-    const v = k?.value as LeaderValue | undefined;
-    return k && v?.run === this.me.run && v.term === term && k.lease === lease ? k.stamp : null;
+    if (answer.r === 'done') return answer.revision;
+    return answer.r === 'unknown' ? this.readTaken(lease, term) : null;
   }
 
-  private renewLoop(): void {
-    const mine = this.held;
-    const every = this.ttl / 4;
-    let open = 0;
-    const tick = (): void => {
-      if (this.held !== mine || this.lease === null) return;
-      this.stopRenewing = this.clock.after(every, tick);
-      if (open >= 2) return;
-      open++;
-      const sent = this.clock.steady();
-      void this.store.renew(this.lease).then((r) => {
-        open--;
-        if (this.held !== mine) return;
-        if (r === 'ok') this.until = Math.max(this.until, sent + this.ttl * (1 - DRIFT));
-        else
-          this.log.debug({ term: mine?.term, answer: r, sentMsAgo: this.clock.steady() - sent }, 'renewal');
-        if (r === 'ended') this.lose('the lease ended');
-      });
-    };
-    this.stopRenewing = this.clock.after(every, tick);
+  /** The transaction got no answer: the key says whether it was carried out. */
+  private async readTaken(lease: LeaseId, term: Term): Promise<Stamp | null> {
+    const { clock, lifeMs, me, store } = this.options;
+    for (let reads = 0; reads < MOST_READS; reads++) {
+      const item = await store.get(LEADER, lifeMs);
+      const value = item?.value as LeaderValue | undefined;
+      if (item && value?.run === me.run && value.term === term && item.lease === lease) return item.stamp;
+      if (item !== undefined) return null;
+      await sleep(clock, READS_APART_MS);
+    }
+    return null;
   }
 
+  /** Somebody else leads, or may lead. */
   lose(why: string): void {
     if (!this.held) return;
-    this.log.info({ term: this.held.term, why }, 'lock lost');
+    this.options.logger.info({ term: this.held.term, why, renewals: this.figures() }, 'lock lost');
     this.held = null;
-    this.until = -Infinity;
-    this.stopRenewing?.();
-    this.onLost(why);
+    this.lease?.stop();
+    this.options.onLost(why);
   }
 
   /** Gives the lock away, so that another need not wait for the lease to run out. */
   release(why: string): void {
-    const l = this.lease;
+    const { held, lease } = this;
     this.lose(why);
-    this.lease = null;
-    if (l !== null) void this.store.endLease(l);
+    if (held && lease) void lease.end();
   }
 }
--- a/src/actors/log.ts
+++ b/src/actors/log.ts
@@ -8,6 +8,7 @@
 import type { Store } from '../wire/store.js';
 import { Actor } from './actor.js';
 import { TokenBucket } from './token-bucket.js';
+import { COPY_ANSWER_MS, WriteCopies } from './write-copies.js';
 
 export interface Append {
   entries: Entry[];
@@ -196,16 +197,18 @@
     this.lastStart = this.writingSince = from;
     // What is being written is fixed until it is settled: a write without an answer is repeated
     // as it is, and the guard on the absent keys lets only one of the repeats through.
+    const guards = [
+      { key: LEADER, stamp: this.options.stamp },
+      ...puts.map((p) => ({ key: p.put, stamp: 0 })),
+    ];
+    const copies = new WriteCopies(this.clock, () => this.options.store.txn(guards, puts, COPY_ANSWER_MS));
     for (let settled = false; !settled;) {
       if (this.stopped) return this.drop(all);
-      const r = await this.options.store.txn(
-        [{ key: LEADER, stamp: this.options.stamp }, ...puts.map((p) => ({ key: p.put, stamp: 0 }))],
-        puts,
-      );
+      const r = await copies.next();
       if (this.stopped) return this.drop(all);
       if (r.r === 'done') settled = true;
       else if (r.r === 'failed') {
-        const k = await this.options.store.get(puts[0]!.put);
+        const k = await this.options.store.get(puts[0]!.put, COPY_ANSWER_MS);
         const v = k?.value as LogRecord | undefined;
         if (this.stopped) return this.drop(all);
         if (v && v.term === this.options.term && v.tag === batches[0]!.record.tag) settled = true;
--- a/src/actors/report-intake.ts
+++ b/src/actors/report-intake.ts
@@ -15,8 +15,9 @@
 const MOST_FAILURES = 1;
 /** Silence counts from so long after a take-over: workers first have to find the new leader. */
 const COMING_OVER_MS = 3000;
-/** Reports come give or take a quarter of their period; a worker that missed one by so much gets no work. */
-const REPORT_SPREAD = 1.25;
+/** Reports come give or take a quarter of their period. */
+export const REPORT_SPREAD = 1.25;
+/** A worker that missed a report by so much gets no work. */
 const REPORT_LATE_MS = 2000;
 
 export interface ReportIntakeOptions {
@@ -51,14 +52,13 @@
 
   canTakeWork(machine: Machine): boolean {
     const view = this.views.get(machine.id);
-    const latest = this.options.reportPeriodS * 1000 * REPORT_SPREAD + REPORT_LATE_MS;
     return (
       isUp(machine) &&
       machine.errors <= MOST_FAILURES &&
       view !== undefined &&
       view.report.session === machine.session &&
       view.report.notice === null &&
-      this.clock.steady() - view.heardAt < latest
+      this.clock.steady() - view.heardAt < this.latestMs
     );
   }
 
@@ -67,13 +67,18 @@
     return this.views.get(machine.id)?.report.notice ?? null;
   }
 
-  /** Whether none of at least two machines at work has been heard for so long. */
-  hearsNobody(ms: number): boolean {
+  /** A worker that was not heard for so long has missed a report. */
+  private get latestMs(): number {
+    return this.options.reportPeriodS * 1000 * REPORT_SPREAD + REPORT_LATE_MS;
+  }
+
+  /** Whether each of at least two machines at work has missed a report, or has not come since the take-over. */
+  areAllSilent(): boolean {
     this.pace.step();
-    if (this.clock.steady() - this.pace.since < ms) return false;
+    if (this.clock.steady() - this.pace.since < this.latestMs) return false;
     let up = 0;
     for (const machine of this.state.machines.values()) if (isUp(machine)) up++;
-    return up >= 2 && this.countHeard(ms) === 0;
+    return up >= 2 && this.countHeard(this.latestMs) === 0;
   }
 
   /** How many workers were heard within that time. */
--- a/src/actors/uncertain-answers.ts
+++ b/src/actors/uncertain-answers.ts
@@ -6,7 +6,8 @@
 import type { Clock } from '../io/clock.js';
 import type { PeerStatus } from '../io/peers.js';
 import type { Settings } from '../wire/settings.js';
-import { DRIFT, type Lock } from './lock.js';
+import { DRIFT } from './lease.js';
+import type { Lock } from './lock.js';
 
 /** Workers end their tasks this soon after their lease. */
 const TASKS_END_MS = 1000;
--- a/src/io/metrics.ts
+++ b/src/io/metrics.ts
@@ -2,7 +2,7 @@
 import { createHistogram, performance, type RecordableHistogram } from 'node:perf_hooks';
 
 export type Measure = (
-  what: 'round' | 'write' | 'fold' | 'take_over' | 'answer' | 'question',
+  what: 'round' | 'write' | 'fold' | 'take_over' | 'answer' | 'question' | 'renewal',
   ms: number,
 ) => void;
 
--- a/src/io/peers.ts
+++ b/src/io/peers.ts
@@ -21,6 +21,18 @@
   workers: number;
   /** Milliseconds since the state service last answered this node. */
   stateAge: number;
+  /** The state service just answered a question of this node in time. */
+  reachesState: boolean;
+  /** It holds the lock, and gets little done at the state service: the others are to see how they fare. */
+  inDoubt: boolean;
+  /** It gave the lock away lately because it got too little done at the state service. */
+  gaveWay: boolean;
+}
+
+/** The last status of a peer, and its age in milliseconds. */
+export interface HeardStatus {
+  status: PeerStatus;
+  age: number;
 }
 
 export interface PeerAsk {
@@ -42,8 +54,8 @@
   ask(node: string, ask: PeerAsk): Promise<PeerAnswer | null>;
   /** Whether a connection to the node stands. */
   linked(node: string): boolean;
-  /** The last status of each peer and its age in milliseconds. */
-  statuses(): { status: PeerStatus; age: number }[];
+  /** The last status of each peer. */
+  statuses(): HeardStatus[];
 }
 
 const root = Root.fromJSON({
@@ -60,6 +72,9 @@
         leaderTerm: { type: 'double', id: 8 },
         takingOver: { type: 'bool', id: 9 },
         remembersMs: { type: 'double', id: 10 },
+        reachesState: { type: 'bool', id: 11 },
+        inDoubt: { type: 'bool', id: 12 },
+        gaveWay: { type: 'bool', id: 13 },
       },
     },
     Ask: {
@@ -130,6 +145,11 @@
   };
 }
 
+/** Whether a status says something: one that was made up or damaged must prove nothing and extend nothing. */
+const isSound = (status: PeerStatus): boolean =>
+  [status.term, status.leaderTerm].every((term) => Number.isSafeInteger(term) && term >= 0) &&
+  [status.remembersMs, status.stateAge, status.workers].every((amount) => amount >= 0 && amount < Infinity);
+
 const ASK_MS = 1500;
 const SILENT_MS = 2500;
 
@@ -193,10 +213,18 @@
   }
 
   private heard(s: PeerStatus, asked?: Steady): void {
+    if (!this.peers.some(({ node }) => node === s.node) || !isSound(s)) return this.noteUnsound(s);
     this.known.set(s.node, { status: s, at: realClock.steady() });
     this.on.status(s, asked);
   }
 
+  private noteUnsound(status: PeerStatus): void {
+    if (this.hasHeardUnsound) return;
+    this.hasHeardUnsound = true;
+    this.log.error({ status }, 'a status of a controller can not be read');
+  }
+  private hasHeardUnsound = false;
+
   private dial(p: { node: NodeId; host: string; port: number }): void {
     const s = net.connect({ host: p.host, port: p.port, noDelay: true });
     this.sockets.add(s);
@@ -255,7 +283,7 @@
     return this.open.has(node);
   }
 
-  statuses(): { status: PeerStatus; age: number }[] {
+  statuses(): HeardStatus[] {
     const now = realClock.steady();
     return [...this.known.values()].map((k) => ({ status: k.status, age: now - k.at }));
   }
--- a/src/wire/store.ts
+++ b/src/wire/store.ts
@@ -1,3 +1,4 @@
+/** The state service, in this project's words. */
 import type { HttpCall } from '../io/http-client.js';
 import { readKeys, readKey, readLease, readTxn, readWatch } from './schemas.js';
 
@@ -32,6 +33,14 @@
   /** It may have been carried out, or may be later. */
   | { r: 'unknown' };
 
+/** What a lease's renewal was answered with; unanswered: it may have been carried out, or may be later. */
+export type Renewal = 'ok' | 'ended' | 'refused' | 'unanswered';
+
+/** The usual time for an answer. Whoever can use a later one says so. */
+export const ANSWER_MS = 1200;
+/** The same for lists, of which each part may be long. */
+export const LIST_MS = 3000;
+
 /** The state service, as the actors use it. */
 export class Store {
   constructor(
@@ -39,7 +48,7 @@
     private readonly address: string,
   ) {}
 
-  async txn(guards: Guard[], ops: Op[], timeoutMs = 1200): Promise<TxnResult> {
+  async txn(guards: Guard[], ops: Op[], timeoutMs = ANSWER_MS): Promise<TxnResult> {
     const body = {
       guards,
       apply: ops.map((o) =>
@@ -62,8 +71,11 @@
   }
 
   /** undefined: could not be read; null: no such key. */
-  async get(key: string): Promise<(Item & { lease: LeaseId | null }) | null | undefined> {
-    const a = await this.call(this.address, 'GET', `/kv/${key}`, undefined, 1200);
+  async get(
+    key: string,
+    timeoutMs = ANSWER_MS,
+  ): Promise<(Item & { lease: LeaseId | null }) | null | undefined> {
+    const a = await this.call(this.address, 'GET', `/kv/${key}`, undefined, timeoutMs);
     if (a?.status === 404) return null;
     if (a?.status !== 200) return undefined;
     const k = readKey.safeParse(a.body);
@@ -74,12 +86,13 @@
   async list(
     prefix: string,
     after: string | null,
+    timeoutMs = LIST_MS,
   ): Promise<{ items: Item[]; revision: Revision } | undefined> {
     const items: Item[] = [];
     let revision: Revision | null = null;
     for (let from = after; ;) {
       const q = `/kv?under=${encodeURIComponent(prefix)}${from === null ? '' : `&after=${encodeURIComponent(from)}`}&most=1000`;
-      const a = await this.call(this.address, 'GET', q, undefined, 3000);
+      const a = await this.call(this.address, 'GET', q, undefined, timeoutMs);
       if (a?.status !== 200) return undefined;
       const k = readKeys.safeParse(a.body);
       if (!k.success) return undefined;
@@ -112,18 +125,23 @@
     };
   }
 
-  async lease(ttlMs: number): Promise<LeaseId | undefined> {
-    const a = await this.call(this.address, 'POST', '/leases', { life_ms: ttlMs }, 1200);
+  /** A new lease; undefined: none was made, or its number is not known. */
+  async lease(lifeMs: number, timeoutMs = ANSWER_MS): Promise<LeaseId | undefined> {
+    const a = await this.call(this.address, 'POST', '/leases', { life_ms: lifeMs }, timeoutMs);
     const l = a?.status === 200 ? readLease.safeParse(a.body) : undefined;
     return l?.success ? l.data.tenure : undefined;
   }
 
-  async renew(id: LeaseId): Promise<'ok' | 'ended' | 'unknown'> {
-    const a = await this.call(this.address, 'POST', `/leases/${id}/touch`, {}, 1200);
-    return a?.status === 200 ? 'ok' : a?.status === 404 ? 'ended' : 'unknown';
+  async renew(id: LeaseId, timeoutMs: number): Promise<Renewal> {
+    const a = await this.call(this.address, 'POST', `/leases/${id}/touch`, {}, timeoutMs);
+    if (!a) return 'unanswered';
+    if (a.status === 200) return 'ok';
+    return a.status === 404 ? 'ended' : 'refused';
   }
 
-  async endLease(id: LeaseId): Promise<void> {
-    await this.call(this.address, 'DELETE', `/leases/${id}`, undefined, 1200);
+  /** Whether the lease is known to be over. */
+  async endLease(id: LeaseId): Promise<boolean> {
+    const a = await this.call(this.address, 'DELETE', `/leases/${id}`, undefined, ANSWER_MS);
+    return a?.status === 200 || a?.status === 404;
   }
 }
--- a/test/failover.test.ts
+++ b/test/failover.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { lockMs } from '../src/actors/controller.js';
+import { lockMs } from '../src/actors/lock.js';
 import { expectAllAnswered, expectAllOver, resolved, startWorld } from './fakes/scenarios.js';
 import { World } from './fakes/world.js';
 
--- a/test/slow-state-service.test.ts
+++ b/test/slow-state-service.test.ts
@@ -9,7 +9,7 @@
  * SLOW_STATE_SEEDS runs more seeds than CI does.
  */
 import { describe, expect, it } from 'vitest';
-import { lockMs } from '../src/actors/controller.js';
+import { lockMs } from '../src/actors/lock.js';
 import { LeadershipWatch } from './fakes/leadership.js';
 import { expectAllAnswered, expectAllOver } from './fakes/scenarios.js';
 import { World } from './fakes/world.js';
--- a/test/wire.test.ts
+++ b/test/wire.test.ts
@@ -94,6 +94,9 @@
       leaderTerm: 7,
       takingOver: false,
       remembersMs: 1e12,
+      reachesState: true,
+      inDoubt: true,
+      gaveWay: true,
     });
     const heard: PeerStatus[] = [];
     const answers: number[] = [];
