--- a/src/actors/lock.ts
+++ b/src/actors/lock.ts
@@ -3,8 +3,8 @@
 import { sleep, type Clock } from '../io/clock.js';
 import type { Logger } from '../io/logger.js';
 import type { Measure } from '../io/metrics.js';
-import { LEADER, TERM, type LeaderValue } from '../wire/keys.js';
-import type { LeaseId, Stamp, Store } from '../wire/store.js';
+import { LEADER, readLeaderValue, readTermValue, TERM, type LeaderValue } from '../wire/keys.js';
+import { ANSWER_MS, type LeaseId, type Stamp, type Store, type TxnResult } from '../wire/store.js';
 import { KeptLease, type RenewalFigures } from './lease.js';
 
 /** The shortest lease of the leader key. */
@@ -28,6 +28,10 @@
   stamp: Stamp;
 }
 
+/** Who holds the leader key, as far as could be read. */
+type Holder = { who: 'us'; stamp: Stamp } | { who: 'another' | 'nobody' | 'unknown' };
+const NOT_READ: Holder = { who: 'unknown' };
+
 export interface LockOptions {
   store: Store;
   clock: Clock;
@@ -82,7 +86,10 @@
     const { lifeMs, store } = this.options;
     const former = await store.get(TERM, lifeMs);
     if (former === undefined) return null;
-    const term = ((former === null ? 0 : (former.value as { term: number }).term) + 1) as Term;
+    const formerTerm = former === null ? 0 : readTermValue(former.value);
+    // Guards the terms' order: no next one follows from what can't be read.
+    if (formerTerm === null) return null;
+    const term = (formerTerm + 1) as Term;
     const lease = await this.newLease();
     if (!lease) return null;
     this.contending = true;
@@ -117,36 +124,56 @@
     else this.lease = null;
   }
 
+  /** The version of the leader key once it is ours; null: it is not, or nobody knows. */
   private async take(lease: LeaseId, term: Term, termStamp: Stamp): Promise<Stamp | null> {
+    const answer = this.askFor(lease, term, termStamp);
+    const isInTime = await Promise.race([
+      answer.then(() => true),
+      sleep(this.options.clock, ANSWER_MS).then(() => false),
+    ]);
+    // It may have been carried out, and only its answer be lost or late: the key says so.
+    const early = isInTime ? NOT_READ : await this.readHolder(lease, term);
+    if (early.who === 'us') return early.stamp;
+    if (early.who === 'another') return null;
+    const result = await answer;
+    if (result.r === 'done') return result.revision;
+    return result.r === 'unknown' ? this.readWhetherOurs(lease, term) : null;
+  }
+
+  private askFor(lease: LeaseId, term: Term, termStamp: Stamp): Promise<TxnResult> {
     const { lifeMs, me, store } = this.options;
-    const answer = await store.txn(
-      [
-        { key: LEADER, stamp: 0 },
-        { key: TERM, stamp: termStamp },
-      ],
-      [
-        { put: LEADER, value: { ...me, term }, lease },
-        { put: TERM, value: { term } },
-      ],
-      lifeMs,
-    );
-    if (answer.r === 'done') return answer.revision;
-    return answer.r === 'unknown' ? this.readTaken(lease, term) : null;
+    const guards = [
+      { key: LEADER, stamp: 0 },
+      { key: TERM, stamp: termStamp },
+    ];
+    const ops = [
+      { put: LEADER, value: { ...me, term }, lease },
+      { put: TERM, value: { term } },
+    ];
+    return store.txn(guards, ops, lifeMs);
   }
 
-  /** The transaction got no answer: the key says whether it was carried out. */
-  private async readTaken(lease: LeaseId, term: Term): Promise<Stamp | null> {
-    const { clock, lifeMs, me, store } = this.options;
+  /** No answer will come any more. */
+  private async readWhetherOurs(lease: LeaseId, term: Term): Promise<Stamp | null> {
     for (let reads = 0; reads < MOST_READS; reads++) {
-      const item = await store.get(LEADER, lifeMs);
-      const value = item?.value as LeaderValue | undefined;
-      if (item && value?.run === me.run && value.term === term && item.lease === lease) return item.stamp;
-      if (item !== undefined) return null;
-      await sleep(clock, READS_APART_MS);
+      const holder = await this.readHolder(lease, term);
+      if (holder.who === 'us') return holder.stamp;
+      if (holder.who !== 'unknown') return null;
+      await sleep(this.options.clock, READS_APART_MS);
     }
     return null;
   }
 
+  private async readHolder(lease: LeaseId, term: Term): Promise<Holder> {
+    const { lifeMs, me, store } = this.options;
+    const item = await store.get(LEADER, lifeMs);
+    if (item === undefined) return NOT_READ;
+    if (item === null) return { who: 'nobody' };
+    const value = readLeaderValue(item.value);
+    const isOurs = value?.run === me.run && value.term === term && item.lease === lease;
+    return isOurs ? { who: 'us', stamp: item.stamp } : { who: 'another' };
+  }
+
   /** Somebody else leads, or may lead. */
   lose(why: string): void {
     if (!this.held) return;
--- a/test/fakes/leadership.ts
+++ b/test/fakes/leadership.ts
@@ -24,7 +24,10 @@
   private lastLeader = -1;
   private stopped = false;
 
-  constructor(private readonly world: World) {
+  constructor(
+    private readonly world: World,
+    private readonly sampleMs = SAMPLE_MS,
+  ) {
     this.from = this.gapSince = world.time.now;
     this.sample();
   }
@@ -43,7 +46,7 @@
   private sample(): void {
     if (this.stopped) return;
     const { time } = this.world;
-    time.after(SAMPLE_MS, () => this.sample());
+    time.after(this.sampleMs, () => this.sample());
     const leaders = this.leaders();
     if (leaders.length > 1 || leaders.some((node) => this.isNamedOtherThan(node))) this.conflicts++;
     const leader = leaders[0];
@@ -52,7 +55,7 @@
       return;
     }
     this.gapSince = time.now;
-    this.ledMs += SAMPLE_MS;
+    this.ledMs += this.sampleMs;
     if (this.lastLeader >= 0 && leader !== this.lastLeader) this.changes++;
     this.lastLeader = leader;
   }
