Silence of all workers is known without a look at each; claims only where the link is down

Change: the intake keeps when any worker was heard last. Followers claim reach only while the link to the leader is down, not whenever it is late with its status.

--- a/src/actors/controller.ts
+++ b/src/actors/controller.ts
@@ -123,7 +123,7 @@
   private claimReach(): void {
     const { clock } = this.ports;
     const isNamed = clock.steady() - this.follower.answeredInTimeAt < STATUS_FRESH_MS;
-    const isUnheard = clock.steady() - this.linkedAt > STATUS_FRESH_MS || !this.sight.isSeen();
+    const isUnheard = clock.steady() - this.linkedAt > STATUS_FRESH_MS;
     const workers = this.sight.countCallers();
     if (this.leader && this.otherLeader() && isNamed && isUnheard && workers > 0)
       this.handOver.claimReach(this.leader.term as Term, workers);
--- a/src/actors/report-intake.ts
+++ b/src/actors/report-intake.ts
@@ -34,6 +34,8 @@
 
 export class ReportIntake {
   readonly views = new Map<MachineId, WorkerView>();
+  /** When any worker was heard last. */
+  private lastHeardAt = -Infinity;
   private readonly state: State;
   private readonly clock: Clock;
   private readonly pace: NodePace;
@@ -75,10 +77,10 @@
   /** Whether each of at least two machines at work has missed a report, or has not come since the take-over. */
   areAllSilent(): boolean {
     this.pace.step();
-    if (this.clock.steady() - this.pace.since < this.latestMs) return false;
+    if (this.clock.steady() - Math.max(this.pace.since, this.lastHeardAt) < this.latestMs) return false;
     let up = 0;
     for (const machine of this.state.machines.values()) if (isUp(machine)) up++;
-    return up >= 2 && this.countHeard(this.latestMs) === 0;
+    return up >= 2;
   }
 
   /** How many workers were heard within that time. */
@@ -110,7 +112,7 @@
     this.settle(view, wasSent);
     // A copy that is late by a term proves nothing: a live worker shows ours with its next report.
     const isFresh = view.knowsTerm || report.session > loggedSession;
-    if (wasSent && isFresh && !this.pace.mayHaveQueued()) view.heardAt = this.clock.steady();
+    if (wasSent && isFresh) this.noteHeard(view);
     this.options.progress.note(report);
     this.options.facts.tell(report);
     return view;
@@ -141,7 +143,13 @@
   /** The worker was heard again, and says what it said before. */
   repeated(view: WorkerView, report: WorkerReport): void {
     view.report = report;
-    if (!this.pace.mayHaveQueued()) view.heardAt = this.clock.steady();
+    this.noteHeard(view);
+  }
+
+  /** What may have queued during a standstill proves nobody alive. */
+  private noteHeard(view: WorkerView): void {
+    if (this.pace.mayHaveQueued()) return;
+    view.heardAt = this.lastHeardAt = this.clock.steady();
   }
 
   /** Forgets machines that are gone. */
--- a/src/io/peers.ts
+++ b/src/io/peers.ts
@@ -146,7 +146,7 @@
 }
 
 /** Whether a status says something: one that was made up or damaged must prove nothing and extend nothing. */
-const isSound = (status: PeerStatus): boolean =>
+export const isSoundStatus = (status: PeerStatus): boolean =>
   [status.term, status.leaderTerm].every((term) => Number.isSafeInteger(term) && term >= 0) &&
   [status.remembersMs, status.stateAge, status.workers].every((amount) => amount >= 0 && amount < Infinity);
 
@@ -213,7 +213,7 @@
   }
 
   private heard(s: PeerStatus, asked?: Steady): void {
-    if (!this.peers.some(({ node }) => node === s.node) || !isSound(s)) return this.noteUnsound(s);
+    if (!this.peers.some(({ node }) => node === s.node) || !isSoundStatus(s)) return this.noteUnsound(s);
     this.known.set(s.node, { status: s, at: realClock.steady() });
     this.on.status(s, asked);
   }
