--- a/eslint.config.js
+++ b/eslint.config.js
@@ -7,9 +7,9 @@
 
 /** Source files that keep to the limit of a function's length; the others follow file by file. */
 const SHORT_FUNCTIONS = [
-  'src/actors/{acknowledgements,admission,direct-calls,first-reports,introductions,leader,node-pace,pending-facts,pulse}.ts',
-  'src/actors/{report-intake,round,snapshot,snapshotter,task-progress,token-bucket,uncertain-answers}.ts',
-  'src/actors/{user-requests,worker-view,workers}.ts',
+  'src/actors/{acknowledgements,admission,direct-calls,first-reports,follower,hand-over,introductions,key-values,leader,leader-sight,lease,lock,log,node-pace,pending-facts,pulse}.ts',
+  'src/actors/{reach-claims,report-intake,round,snapshot,snapshotter,state-service-doubt,task-progress,token-bucket,uncertain-answers}.ts',
+  'src/actors/{user-requests,worker-reach,worker-view,workers,write-copies}.ts',
   'src/core/{chunked,claims,fit,model,orderly-stops,placement,resources,rooms,state-dump,types}.ts',
   'src/core/{unsettled-calls,waiting-tasks,zones}.ts',
   'tools/**/*.ts',
--- a/src/actors/follower.ts
+++ b/src/actors/follower.ts
@@ -1,3 +1,4 @@
+/** A node's copy of the state while another leads: reads the log on, and says when the lock is free. */
 import { State } from '../core/state.js';
 import type { LogRecord, RecordNo, Term } from '../core/types.js';
 import { sleep, type Clock } from '../io/clock.js';
@@ -13,17 +14,28 @@
   type HeadValue,
   type LeaderValue,
 } from '../wire/keys.js';
-import { ANSWER_MS, LIST_MS, type Item, type Revision, type Stamp, type Store } from '../wire/store.js';
+import {
+  ANSWER_MS,
+  LIST_MS,
+  type Change,
+  type Item,
+  type Revision,
+  type Stamp,
+  type Store,
+} from '../wire/store.js';
 import { KeyValues } from './key-values.js';
 import { SingleFlight } from './single-flight.js';
-import { unpack } from './snapshot.js';
-
-/** The snapshot in force, and the version of the key that says so. */
-export interface Head extends HeadValue {
-  stamp: Stamp;
-}
-const NO_HEAD: Head = { upto: 0, chunks: 0, stamp: 0 };
+import { NO_HEAD, unpack, type Head } from './snapshot.js';
 
+/** While another part of the node has the state, it is looked for this often whether it is back. */
+const PAUSED_LOOK_MS = 50;
+/** A read that failed is repeated after so long. */
+const FAILED_READ_MS = 250;
+/** A watch waits for news so long, and less while the lock is free: it is contended for between two. */
+const WATCH_MS = 10_000;
+const FREE_WATCH_MS = 200;
+/** Watches keep this distance. */
+const WATCHES_APART_MS = 100;
 /** Reads for users' questions keep this distance. */
 const READ_APART_MS = 200;
 
@@ -39,6 +51,9 @@
   answeredInTimeAt = -Infinity;
   private revision: Revision = 0;
   private readonly values: KeyValues;
+  private readonly reads: SingleFlight<boolean>;
+  /** This node led until now: what it applied is confirmed, so that the rest can be read on. */
+  private ledUntilNow = false;
   private paused = false;
   private stopped = false;
 
@@ -60,49 +75,46 @@
 
   async run(): Promise<void> {
     while (!this.stopped) {
-      if (this.paused) {
-        await sleep(this.clock, 50);
-        continue;
-      }
-      if (!this.loaded) {
-        if (!(await this.readState())) {
-          await sleep(this.clock, 250);
-          continue;
-        }
-      }
-      if (this.leader === null) {
-        await this.on.free();
-        if (this.paused) continue;
-      }
-      const before = this.clock.steady();
-      const w = await this.store.watch(ROOT, this.revision, this.leader === null ? 200 : 10_000);
-      if (this.paused || this.stopped) continue;
-      if (w === 'too_old') {
-        this.loaded = false;
-        continue;
-      }
-      if (!w) {
-        await sleep(this.clock, 250);
-        continue;
-      }
-      this.lastAnswer = this.clock.steady();
-      this.revision = w.revision;
-      this.log.debug({ revision: w.revision, changes: w.changes.length }, 'state service read');
-      let deposed = false;
-      for (const c of w.changes) {
-        if (c.key === LEADER) {
-          this.setLeader(c.removed ? null : this.values.leader(c.value));
-          deposed ||= c.removed;
-        } else if (c.key === TERM && !c.removed) this.setTerm(c.value);
-        else if (c.key === HEAD && !c.removed) this.setHead(c);
-        else if (c.key.startsWith(RECORDS) && !c.removed) this.take(recordOf(c.key), c.value as LogRecord);
-      }
-      // Bounded use of the state service: at most ten watches a second, but none late to an election.
-      const spent = this.clock.steady() - before;
-      if (!deposed && spent < 100) await sleep(this.clock, 100 - spent);
+      if (this.paused) await sleep(this.clock, PAUSED_LOOK_MS);
+      else if (!this.loaded && !(await this.readState())) await sleep(this.clock, FAILED_READ_MS);
+      else await this.followOn();
     }
   }
 
+  /** Waits for the next changes and takes them; contends before that while the lock is free. */
+  private async followOn(): Promise<void> {
+    if (this.leader === null) {
+      await this.on.free();
+      if (this.paused) return;
+    }
+    const from = this.clock.steady();
+    const waitMs = this.leader === null ? FREE_WATCH_MS : WATCH_MS;
+    const news = await this.store.watch(ROOT, this.revision, waitMs);
+    if (this.paused || this.stopped) return;
+    if (news === 'too_old') {
+      this.loaded = false;
+      return;
+    }
+    if (!news) return sleep(this.clock, FAILED_READ_MS);
+    this.lastAnswer = this.clock.steady();
+    this.revision = news.revision;
+    this.log.debug({ revision: news.revision, changes: news.changes.length }, 'state service read');
+    for (const change of news.changes) this.takeChange(change);
+    // Bounded use of the state service, but nobody is late to an election.
+    const isLockFreed = news.changes.some(({ key, removed }) => key === LEADER && removed);
+    const spentMs = this.clock.steady() - from;
+    if (!isLockFreed && spentMs < WATCHES_APART_MS) await sleep(this.clock, WATCHES_APART_MS - spentMs);
+  }
+
+  private takeChange(change: Change): void {
+    const { key, value, removed } = change;
+    if (key === LEADER) this.setLeader(removed ? null : this.values.leader(value));
+    else if (removed) return;
+    else if (key === TERM) this.setTerm(value);
+    else if (key === HEAD) this.setHead(change);
+    else if (key.startsWith(RECORDS)) this.take(recordOf(key), value as LogRecord);
+  }
+
   /**
    * Guards against a watch that has not told of the lock's end: asks for the key itself. True when
    * the lock is free.
@@ -175,7 +187,6 @@
     this.log.info({ next: this.state.next }, 'state read on');
     return this.loaded;
   }
-  private ledUntilNow = false;
 
   /** Reads snapshot and records. False when that could not be done now. */
   async load(patienceMs = 0): Promise<boolean> {
@@ -215,7 +226,6 @@
   fresh(): Promise<boolean> {
     return this.reads.get();
   }
-  private readonly reads: SingleFlight<boolean>;
 
   private async read(): Promise<boolean> {
     // Guards the state of a node that began to lead meanwhile: only its pen applies records then.
--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -16,12 +16,11 @@
 import { Actor } from './actor.js';
 import { AdmissionActor } from './admission.js';
 import { CloudActor } from './cloud.js';
-import type { Head } from './follower.js';
 import type { Held, Lock } from './lock.js';
 import { LogActor } from './log.js';
 import { Pulse } from './pulse.js';
 import { Rounds, type RoundResult } from './round.js';
-import type { Deflate } from './snapshot.js';
+import type { Deflate, Head } from './snapshot.js';
 import { Snapshotter } from './snapshotter.js';
 import { WorkersActor } from './workers.js';
 
--- a/src/actors/log.ts
+++ b/src/actors/log.ts
@@ -5,7 +5,7 @@
 import { sleep, type Cancel, type Clock } from '../io/clock.js';
 import type { Logger } from '../io/logger.js';
 import { LEADER, recordKey } from '../wire/keys.js';
-import type { Store } from '../wire/store.js';
+import type { Store, TxnResult } from '../wire/store.js';
 import { Actor } from './actor.js';
 import { TokenBucket } from './token-bucket.js';
 import { COPY_ANSWER_MS, WriteCopies } from './write-copies.js';
@@ -42,6 +42,13 @@
 /** A transaction's limit, less its guards and frame. */
 const TXN_BYTES = 60 * 1024;
 
+/** Of a value's limit, for what a record holds beside its entries. */
+const RECORD_FRAME_BYTES = 300;
+/** A write is tried again so long after each kind of result that settles nothing. */
+const RETRY_AFTER_MS: Record<TxnResult['r'], number> = {
+  ...{ done: 0, failed: 100, refused: 150, no_lease: 30, unknown: 30 },
+};
+
 interface Waiting extends Append {
   bytes: number;
 }
@@ -50,6 +57,18 @@
   record: LogRecord;
 }
 
+/** As many of the items from there on as fit into one record; one at the least. */
+function itemsOfRecord(all: readonly Waiting[], from: number, mostBytes: number): Waiting[] {
+  const items: Waiting[] = [];
+  let bytes = 0;
+  for (const item of all.slice(from)) {
+    if (items.length > 0 && bytes + item.bytes > mostBytes) break;
+    bytes += item.bytes;
+    items.push(item);
+  }
+  return items;
+}
+
 /**
  * The leader's writer of the log: group commits, one transaction at a time, each guarded by the leader key's
  * stamp. A burst fills several records of one transaction.
@@ -153,87 +172,92 @@
     else void this.write();
   }
 
-  private batches(): Batch[] {
-    const most = this.limits.value_kb * 1024 - 300;
-    const records = Math.max(
-      1,
-      Math.min(
-        Math.floor(this.bucket.left),
-        this.limits.txn_ops,
-        Math.floor(TXN_BYTES / (this.limits.value_kb * 1024)),
-      ),
-    );
+  /** Takes what waits, as far as one transaction and the write rate hold it; urgent entries first. */
+  private takeBatches(): Batch[] {
+    const valueBytes = this.limits.value_kb * 1024;
+    const rateAllows = Math.max(1, Math.floor(this.bucket.left));
+    const mostRecords = Math.min(rateAllows, this.limits.txn_ops, Math.floor(TXN_BYTES / valueBytes));
     const all = [...this.urgent, ...this.queue];
     const at = this.clock.wall();
-    const out: Batch[] = [];
+    const batches: Batch[] = [];
     let used = 0;
-    while (out.length < records && used < all.length) {
-      const items: Waiting[] = [];
-      let size = 0;
-      for (; used < all.length; used++) {
-        const w = all[used]!;
-        if (items.length > 0 && size + w.bytes > most) break;
-        size += w.bytes;
-        items.push(w);
-      }
-      const entries = items.flatMap((i) => i.entries);
-      out.push({ items, record: { term: this.options.term, tag: ++this.tag, at, entries } });
+    while (batches.length < Math.max(1, mostRecords) && used < all.length) {
+      const items = itemsOfRecord(all, used, valueBytes - RECORD_FRAME_BYTES);
+      used += items.length;
+      const entries = items.flatMap((item) => item.entries);
+      batches.push({ items, record: { term: this.options.term, tag: ++this.tag, at, entries } });
     }
     this.queue = all.slice(Math.max(used, this.urgent.length));
     this.urgent = this.urgent.slice(used);
-    return out;
+    return batches;
   }
 
   private async write(): Promise<void> {
     if (this.stopped) return;
     this.writing = true;
-    const batches = this.batches();
-    const all = batches.flatMap((b) => b.items);
+    const batches = this.takeBatches();
     this.flight = batches;
     this.bucket.take(batches.length);
-    const first = this.state.next;
-    const puts = batches.map((b, i) => ({ put: recordKey(first + i), value: b.record }));
+    const first = this.state.next as RecordNo;
     const from = this.clock.steady();
     this.lastStart = this.writingSince = from;
-    // What is being written is fixed until it is settled: a write without an answer is repeated
-    // as it is, and the guard on the absent keys lets only one of the repeats through.
-    const guards = [
-      { key: LEADER, stamp: this.options.stamp },
-      ...puts.map((p) => ({ key: p.put, stamp: 0 })),
-    ];
+    if (!(await this.settle(first, batches))) return this.drop(batches.flatMap(({ items }) => items));
+    const tookMs = this.clock.steady() - from;
+    this.writes.count++;
+    this.writes.ms += tookMs;
+    this.options.onWritten(tookMs);
+    this.commit(first, batches);
+    this.land();
+    this.writing = false;
+    this.pump();
+  }
+
+  /**
+   * Writes the records, and resolves when they are known to be written; false when they never will be by this
+   * leader. What is being written is fixed until it is settled: a write without an answer is repeated as it is, and
+   * the guard on the absent keys lets only one of the copies through.
+   */
+  private async settle(first: RecordNo, batches: readonly Batch[]): Promise<boolean> {
+    const puts = batches.map(({ record }, index) => ({ put: recordKey(first + index), value: record }));
+    const absent = puts.map(({ put }) => ({ key: put, stamp: 0 }));
+    const guards = [{ key: LEADER, stamp: this.options.stamp }, ...absent];
     const copies = new WriteCopies(this.clock, () => this.options.store.txn(guards, puts, COPY_ANSWER_MS));
-    for (let settled = false; !settled;) {
-      if (this.stopped) return this.drop(all);
-      const r = await copies.next();
-      if (this.stopped) return this.drop(all);
-      if (r.r === 'done') settled = true;
-      else if (r.r === 'failed') {
-        const k = await this.options.store.get(puts[0]!.put, COPY_ANSWER_MS);
-        const v = k?.value as LogRecord | undefined;
-        if (this.stopped) return this.drop(all);
-        if (v && v.term === this.options.term && v.tag === batches[0]!.record.tag) settled = true;
-        else if (k !== undefined) {
-          this.options.onDeposed(`record ${first} was refused (${r.keys.join(', ')})`);
-          return this.drop(all);
-        } else await sleep(this.clock, 100);
-      } else await sleep(this.clock, r.r === 'refused' ? 150 : 30);
+    while (!this.stopped) {
+      const result = await copies.next();
+      if (this.stopped) return false;
+      if (result.r === 'done') return true;
+      const isOurs = result.r === 'failed' ? await this.isWrittenByUs(first, batches[0]!.record) : null;
+      if (this.stopped) return false;
+      if (isOurs) return true;
+      if (isOurs === false) {
+        const refused = result.r === 'failed' ? result.keys.join(', ') : '';
+        this.options.onDeposed(`record ${first} was refused (${refused})`);
+        return false;
+      }
+      await sleep(this.clock, RETRY_AFTER_MS[result.r]);
     }
-    const took = this.clock.steady() - from;
-    this.writes.count++;
-    this.writes.ms += took;
-    this.options.onWritten(took);
+    return false;
+  }
+
+  /** Whether a refused record is there already by another copy; null when it can't be read. */
+  private async isWrittenByUs(no: RecordNo, record: LogRecord): Promise<boolean | null> {
+    const item = await this.options.store.get(recordKey(no), COPY_ANSWER_MS);
+    if (item === undefined) return null;
+    const there = item?.value as LogRecord | undefined;
+    return there !== undefined && there.term === record.term && there.tag === record.tag;
+  }
+
+  private commit(first: RecordNo, batches: readonly Batch[]): void {
     // Guards starts after a confirmed cancellation: a launch of the first record must not leave when the
     // cancellation in the second is written already.
-    for (const [i, { record }] of batches.entries()) this.state.apply((first + i) as RecordNo, record);
-    for (const [i, { items, record }] of batches.entries()) {
-      const no = (first + i) as RecordNo;
-      for (const w of items) w.done?.(true);
+    for (const [index, { record }] of batches.entries())
+      this.state.apply((first + index) as RecordNo, record);
+    for (const [index, { items, record }] of batches.entries()) {
+      const no = (first + index) as RecordNo;
+      for (const item of items) item.done?.(true);
       this.committed.next({ no, record });
-      this.options.logger.debug({ no, entries: record.entries.map((e) => e.e) }, 'record written');
+      this.options.logger.debug({ no, entries: record.entries.map((entry) => entry.e) }, 'record written');
     }
-    this.land();
-    this.writing = false;
-    this.pump();
   }
 
   private drop(items: Append[]): void {
--- a/src/actors/snapshot.ts
+++ b/src/actors/snapshot.ts
@@ -1,8 +1,16 @@
+/** Snapshots of the state: how they are packed, and which one is in force. */
 import { inflateSync } from 'node:zlib';
 import { chunked } from '../core/chunked.js';
 import { loadState } from '../core/state-dump.js';
 import type { State } from '../core/state.js';
 import { chunkKey, type HeadValue } from '../wire/keys.js';
+import type { Stamp } from '../wire/store.js';
+
+/** The snapshot in force, and the version of the key that says so. */
+export interface Head extends HeadValue {
+  stamp: Stamp;
+}
+export const NO_HEAD: Head = { upto: 0, chunks: 0, stamp: 0 };
 
 /** Packs a text off the thread that renews the lock. */
 export type Deflate = (text: string) => Promise<Buffer>;
--- a/src/actors/snapshotter.ts
+++ b/src/actors/snapshotter.ts
@@ -9,9 +9,8 @@
 import type { Logger } from '../io/logger.js';
 import { HEAD, LEADER, chunkKey, recordKey, type HeadValue } from '../wire/keys.js';
 import type { Op, Stamp, Store } from '../wire/store.js';
-import type { Head } from './follower.js';
 import type { LogActor } from './log.js';
-import { lines, pack, type Deflate } from './snapshot.js';
+import { lines, pack, type Deflate, type Head } from './snapshot.js';
 
 /** So many records are folded at once. */
 const FOLD_EVERY = 250;
