--- a/test/log-writes-late.test.ts
+++ b/test/log-writes-late.test.ts
@@ -43,6 +43,19 @@
         await expectAllOver(w, 200);
       });
 
+  /**
+   * Open: each write takes 1.8 s, and while one has been under way for 0.7 s submissions are refused (AdmissionActor,
+   * STUCK_MS). Seen: five tries, a second apart, each met a write that was under way for longer.
+   */
+  it('with requests held up for 1800 ms get through: a job is accepted in time (seed 514)', async () => {
+    const w = await startWorld(514);
+    await w.time.run(20_000);
+    hold(w, w.leader(), 'requests', 1800);
+    expect(await acceptedWithin(w, LATE_MOST_MS)).toBe(true);
+    await w.time.run(10_000);
+    expect(await acceptedWithin(w, LATE_MOST_MS)).toBe(true);
+  });
+
   for (const direction of ['requests', 'answers'] as const)
     it(`with ${direction} lost let another lead, which writes`, async () => {
       const w = await startWorld(411);
