--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -224,18 +224,19 @@
 export async function runCase(folder, play) {
   const record = new Record(join(folder, 'record.txt'));
   let deployment = null;
-  let code = 2;
   const limit = setTimeout(() => end(2, 'stopped after 118 s'), 118_000);
   const end = (result, why) => {
     clearTimeout(limit);
-    record.add(`result: ${['the rule held', 'THE RULE WAS BROKEN', 'the case could not run'][result]}: ${why}`);
-    deployment?.stop();
+    const line = `${['the rule held', 'THE RULE WAS BROKEN', 'the case could not run'][result]}: ${why}`;
+    record.add(`result: ${line}`);
     record.write();
-    process.stdout.write(`${record.lines.at(-1)}\n`);
+    process.stdout.write(`${record.seconds.toFixed(1)} s: ${line}\n`);
+    deployment?.stop();
     process.exit(result);
   };
   for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.on(signal, () => end(2, `got ${signal}`));
   process.on('uncaughtException', (error) => end(2, error.stack ?? String(error)));
+  process.on('unhandledRejection', (error) => end(2, error?.stack ?? String(error)));
   try {
     const { broken, why } = await play({
       record,
@@ -246,8 +247,7 @@
         return deployment;
       },
     });
-    code = broken ? 1 : 0;
-    end(code, why);
+    end(broken ? 1 : 0, why);
   } catch (error) {
     end(2, error instanceof CannotRun ? error.message : (error.stack ?? String(error)));
   }
