Review case 1: one disruption in place of two

Cause: the case lost an answer and then began an outage; a slow answer that the outage itself cuts off shows the same. Change: the answer takes 400 ms with and without the outage, which begins 200 ms after the transaction was carried out.

--- a/review/1/test.mjs
+++ b/review/1/test.mjs
@@ -1,4 +1,4 @@
-// A cancellation is carried out by the state service, which then goes down for longer than cancel_s; see claim.txt.
+// The state service goes down for longer than cancel_s while its answer to a cancellation is on its way; see claim.txt.
 import { CannotRun, WORKERS, request, runCase, sleep } from '../lib/deployment.mjs';
 
 const TYPE = {
@@ -6,8 +6,10 @@
   ...{ price: 0.76, market_price: 0.2, ready_s: 3.0, yards: ['wien-keller'] },
 };
 const JOB = 'wk-000412';
-/** From the lost answer to the outage ("a second later"). */
-const OUTAGE_AFTER_S = 1;
+/** The answer to the transaction with the cancellation takes "a few hundred" ms, with and without the outage. */
+const ANSWER_MS = 400;
+/** When the outage begins, after that transaction was carried out. */
+const OUTAGE_AFTER_MS = 200;
 /** Longer than cancel_s (46 s). */
 const OUTAGE_S = 65;
 /** What timers and the network of the test itself may add to a bound. */
@@ -39,20 +41,22 @@
   if (!leader) throw new CannotRun('no leader');
   record.add(`leader is ${leader.name}`);
 
-  let outage = null;
-  if (trouble)
-    state.onTransaction = (changes) => {
-      if (outage || !changes.some(withdraws)) return undefined;
-      record.add('state service: transaction with the cancellation carried out and shown to watches; its answer is lost');
-      outage = sleep(OUTAGE_AFTER_S * 1000).then(async () => {
-        record.add('state service: outage begins');
-        state.setDown(true);
-        await sleep(OUTAGE_S * 1000);
-        state.setDown(false);
-        record.add('state service: outage is over');
-      });
-      return 'lose';
-    };
+  let isSeen = false;
+  const playOutage = async () => {
+    await sleep(OUTAGE_AFTER_MS);
+    record.add('state service: outage begins');
+    state.setDown(true);
+    await sleep(OUTAGE_S * 1000);
+    state.setDown(false);
+    record.add('state service: outage is over');
+  };
+  state.onTransaction = (changes) => {
+    if (isSeen || !changes.some(withdraws)) return 0;
+    isSeen = true;
+    record.add('state service: the transaction with the cancellation is carried out and shown to watches');
+    if (trouble) void playOutage();
+    return ANSWER_MS;
+  };
 
   // The user cancels and repeats the request after a second, at any node, until it is answered.
   let toldAt = null;
--- a/review/lib/state-service.mjs
+++ b/review/lib/state-service.mjs
@@ -6,8 +6,8 @@
 export class StateService {
   /** During an outage every request gets 503; open watches stay open, and leases have their full time after it. */
   down = false;
-  /** Called with each transaction; `'lose'` carries it out and loses the answer. */
-  onTransaction = () => undefined;
+  /** Called with the changes of each transaction that was carried out; returns by how many ms its answer is late. */
+  onTransaction = () => 0;
   kv = new Map();
   revision = 0;
   changes = [];
@@ -168,9 +168,14 @@
         else this.remove(one.remove);
     }
     const ledger = this.revision;
-    const fate = this.onTransaction(apply);
+    const lateMs = this.onTransaction(apply);
     this.notify();
-    if (fate !== 'lose') answer(200, { ledger });
+    if (lateMs === 0) return answer(200, { ledger });
+    // An answer that is on its way when an outage begins is lost.
+    setTimeout(() => {
+      if (this.down) this.record('state service: that answer is lost in the outage');
+      else answer(200, { ledger });
+    }, lateMs);
   }
 
   watch(url, answer, response) {
