Review case 3: a former leader returns machines that the new one uses

Cause: machines of overdue cancelled tasks are returned just when the lock is uncertain, as it is on waking from a standstill.

--- a/review/lib/cloud.mjs
+++ b/review/lib/cloud.mjs
@@ -15,32 +15,34 @@
     this.timer = setInterval(() => this.remember(), 500);
   }
 
-  listen() {
-    this.server = http.createServer({ keepAliveTimeout: 120_000, noDelay: true }, (request, response) => {
+  servers = [];
+
+  /** An address of its own for each caller, so that the record can tell them apart. */
+  async listen(from) {
+    const server = http.createServer({ keepAliveTimeout: 120_000, noDelay: true }, (request, response) => {
       const parts = [];
       request.on('data', (part) => parts.push(part));
       request.on('end', () =>
         setTimeout(() => {
           const text = Buffer.concat(parts).toString();
-          const [status, body] = this.handle(request.method, new URL(request.url, 'http://cloud'), text ? JSON.parse(text) : {});
+          const [status, body] = this.handle(request.method, new URL(request.url, 'http://cloud'), text ? JSON.parse(text) : {}, from);
           const json = JSON.stringify(body);
           response.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(json) });
           response.end(json);
         }, RESPONSE_MS),
       );
     });
-    return new Promise((done) =>
-      this.server.listen(0, '127.0.0.1', () => {
-        this.address = `127.0.0.1:${this.server.address().port}`;
-        done();
-      }),
-    );
+    this.servers.push(server);
+    await new Promise((done) => server.listen(0, '127.0.0.1', done));
+    return `127.0.0.1:${server.address().port}`;
   }
 
   stop() {
     clearInterval(this.timer);
-    this.server.close();
-    this.server.closeAllConnections();
+    for (const server of this.servers) {
+      server.close();
+      server.closeAllConnections();
+    }
   }
 
   remember() {
@@ -51,11 +53,12 @@
     this.history.push({ at: performance.now(), list });
   }
 
-  handle(method, url, body) {
+  handle(method, url, body, from) {
     if (method === 'GET' && url.pathname === '/flavors') return [200, { breeds: this.types }];
     if (method === 'POST' && url.pathname === '/hosts') return this.rent(body);
     if (method === 'POST' && url.pathname === '/hosts/return') {
-      this.record(`cloud: asked to return ${body.mounts.join(', ')}`);
+      this.record(`cloud: asked by ${from} to return ${body.mounts.join(', ')}`);
+      this.onReturn?.(from, body.mounts);
       for (const id of body.mounts) {
         if (!this.machines.delete(id)) continue;
         this.onGone(id);
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -108,10 +108,10 @@
         this.workers.delete(id);
       },
     });
-    await this.cloud.listen();
     for (const index of [0, 1, 2])
       this.nodes.push({
         ...{ name: `ostler-${index}`, index, address: `127.0.0.1:${await freePort()}`, back: `127.0.0.1:${await freePort()}` },
+        cloud: await this.cloud.listen(`ostler-${index}`),
       });
     for (const node of this.nodes) this.startNode(node);
   }
@@ -121,7 +121,7 @@
     return {
       ...{ node: node.name, area: ZONE, serve_on: node.address, back: node.back },
       seeds: others.map(({ name, back }) => ({ node: name, area: ZONE, peer_addr: back })),
-      external: { cloud: this.cloud.address, state: this.state.address },
+      external: { cloud: node.cloud, state: this.state.address },
       cluster: {
         ...{ size: 3, zones: [ZONE], teams: this.teams, objectives: [], workers: WORKERS, state: STATE, cloud: CLOUD },
         machine_limits: { cpu_share: 0.136, mem_mb: 178.0, sockets: 1200 },
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -41,6 +41,8 @@
   alive = true;
   /** Every task that starts fails. */
   failing = false;
+  /** The machine hangs until then: it runs nothing, reports nothing and answers what has come when it goes on. */
+  hungUntil = -Infinity;
 
   /**
    * `env`: nodes ({ name, address }), workers (the settings' part), type (in the protocol's words), jobs (a map of
@@ -54,6 +56,18 @@
     this.agent = new http.Agent({ keepAlive: true });
   }
 
+  hang(ms) {
+    this.hungUntil = performance.now() + ms;
+  }
+
+  /** Runs at once, or when the machine goes on; its lease is looked at first. */
+  whenAwake(run) {
+    const leftMs = this.hungUntil - performance.now();
+    if (leftMs > 0) return void setTimeout(() => this.whenAwake(run), leftMs + 5);
+    if (this.alive) this.checkLease();
+    if (this.alive) run();
+  }
+
   async start() {
     this.server = http.createServer({ keepAliveTimeout: 120_000, noDelay: true }, (request, response) => {
       const parts = [];
@@ -61,10 +75,12 @@
       request.on('end', () => {
         if (!this.alive) return request.socket.destroy();
         const text = Buffer.concat(parts).toString();
-        const [status, body] = this.handle(request.url, text ? JSON.parse(text) : {});
-        const json = JSON.stringify(body);
-        response.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(json) });
-        response.end(json);
+        this.whenAwake(() => {
+          const [status, body] = this.handle(request.url, text ? JSON.parse(text) : {});
+          const json = JSON.stringify(body);
+          response.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(json) });
+          response.end(json);
+        });
       });
     });
     await new Promise((done) => this.server.listen(0, '127.0.0.1', done));
@@ -97,6 +113,7 @@
   }
 
   checkLease() {
+    if (this.hungUntil > performance.now()) return;
     if (performance.now() - this.leaseFrom <= this.env.workers.lease_s * 1000) return;
     this.env.record(`worker ${this.machine.id}: lease of session ${this.stint} expired`);
     this.endAll('lease expired');
@@ -107,7 +124,7 @@
 
   schedule(ms) {
     clearTimeout(this.timer);
-    this.timer = setTimeout(() => void this.report(), Math.max(0, ms));
+    this.timer = setTimeout(() => this.whenAwake(() => void this.report()), Math.max(0, ms));
   }
 
   /** Reports what has changed, though never more often than every half second. */
@@ -191,10 +208,16 @@
     const sum = (field) => present.reduce((total, other) => total + other.job[field], job[field]);
     if (sum('cpus') > env.type.cpus + 1e-6 || sum('mem_gb') > env.type.mem_gb + 1e-6) return this.exit(task, 'full');
     const fetchMs = this.images.has(job.kit) ? 0 : (job.image_gb / env.type.pull_gb_per_s) * 1000;
-    task.timer = setTimeout(() => this.run(task), fetchMs);
+    this.later(task, fetchMs, () => this.run(task));
     this.changed();
   }
 
+  /** Runs after a time, or when the machine goes on, if the task is still there and nothing else became of it. */
+  later(task, ms, run) {
+    const turn = (task.turn = (task.turn ?? 0) + 1);
+    task.timer = setTimeout(() => this.whenAwake(() => this.tasks.get(task.key) === task && task.turn === turn && run()), ms);
+  }
+
   run(task) {
     const { env } = this;
     this.images.add(task.job.kit);
@@ -202,12 +225,13 @@
     task.onMachine = true;
     env.onStart(this, task);
     const fails = this.failing;
-    task.timer = setTimeout(() => this.exit(task, fails ? 'error' : 'done'), fails ? env.failMs : env.runMs(task));
+    this.later(task, fails ? env.failMs : env.runMs(task), () => this.exit(task, fails ? 'error' : 'done'));
     this.changed();
   }
 
   exit(task, cause) {
     clearTimeout(task.timer);
+    task.turn = (task.turn ?? 0) + 1;
     task.standing = 'ended';
     task.cause = cause;
     if (task.onMachine) this.env.onEnd(this, task, cause);
