--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-exec node review/2/test.mjs
+exec node review/2/case.mjs
