Refuse no repeated submission for good while its first write has no answer

What callers see: an accepted job, known to others from the record, gets 422 at the leader for a repetition with a body that can't run, while the leader's write of the first one has no answer; a malformed repetition gets 400 whenever no node can say whether the job is accepted.

Change: a repetition joins the submission that is being written; a malformed body is refused with 400 only when the answer is final, and gets 503 with Retry-After else.

--- a/src/actors/admission.ts
+++ b/src/actors/admission.ts
@@ -136,7 +136,9 @@
     const outcome = outcomeReply(this.state, spec.id);
     if (outcome) return reply(outcome);
     if (!this.options.isCertain()) return reply(retryLater('not certain to lead'));
-    if (this.log.hasWriteInFlightFor(spec.id) && !this.waitingByKey.has(`s ${spec.id}`))
+    // Upholds forgotten: the earlier submission may be accepted already, whatever this one's body says.
+    if (this.waitingByKey.has(`s ${spec.id}`)) return this.writeJob(spec, reply);
+    if (this.log.hasWriteInFlightFor(spec.id))
       return this.afterPendingWrites(reply, () => this.submit(spec, reply));
     const known = this.statusReply(spec.id);
     if (known) return reply(known);
@@ -153,6 +155,10 @@
         status: 400,
         body: { error: 'the job description is too long for one value of the state service' },
       });
+    this.writeJob(spec, reply);
+  }
+
+  private writeJob(spec: JobSpec, reply: (r: Reply) => void): void {
     this.write(`s ${spec.id}`, { e: 'job', spec }, reply, () => ({
       ...(this.statusReply(spec.id) ?? retryLater('not written')),
       status: this.state.jobs.has(spec.id) || this.state.outcomes.has(spec.id) ? 201 : 503,
--- a/src/io/server.ts
+++ b/src/io/server.ts
@@ -100,10 +100,10 @@
       const reject = (): void => sendJson(res, 400, { error: submission.error });
       if (typeof id !== 'string' || !jobIdPattern.test(id)) return reject();
       // Upholds forgotten: a repeated submission of an accepted job gets the job's state, even if its body is
-      // malformed.
+      // malformed; while nobody can say whether it was accepted, it is not refused for good.
       void controller.requests
         .answer({ kind: 'show', job: id as JobId })
-        .then((reply) => (reply.status === 200 ? sendReply(res, reply) : reject()));
+        .then((reply) => (reply.status === 200 || reply.retryAfter ? sendReply(res, reply) : reject()));
       return;
     }
     const startedAt = performance.now();
--- a/test/unsettled-cancellations.test.ts
+++ b/test/unsettled-cancellations.test.ts
@@ -240,3 +240,21 @@
       await expectAllOver(world, 900);
     });
 });
+
+// Guards against forgotten: the first submission may be in the log, and users may have been told so.
+describe('a submission whose write the leader has no answer for', () => {
+  it('is not refused for good when it is repeated with a body that can not run', async () => {
+    const world = await startWorld(630);
+    const job = world.job({ shifts: 2, reckon_s: 20 });
+    world.checker.submitted(job);
+    const leader = world.leader();
+    let isLost = false;
+    world.state.losesResponse = () => !isLost && (isLost = true);
+    void world.ask('submit', job.name_id, job, leader);
+    await world.time.run(500);
+    const repeated = await resolved(world, world.ask('submit', job.name_id, { ...job, cpus: 99 }, leader));
+    expect([200, 201, 503]).toContain(repeated.status);
+    world.user(job);
+    await expectAllOver(world, 100);
+  });
+});
--- a/test/wire.test.ts
+++ b/test/wire.test.ts
@@ -74,6 +74,13 @@
     expect((await post(`${url}/v1/jobs`, malformed('wk-999'))).status).toBe(400);
   });
 
+  // Guards against forgotten: the earlier submission may be in the log while no node can say so.
+  it('does not refuse a malformed repetition for good while it can not tell whether the job is accepted', async () => {
+    const url = await startServer(() => Promise.resolve(retryLater('a write is not answered')));
+    expect((await post(`${url}/v1/jobs`, JSON.stringify({ ...job, shifts: -1 }))).status).toBe(503);
+    expect((await post(`${url}/v1/jobs`, JSON.stringify({ ...job, name_id: 'x-1' }))).status).toBe(400);
+  });
+
   it('sends Retry-After and closes the connection when it can not answer now', async () => {
     const url = await startServer(() => Promise.resolve(retryLater('not now', 2)));
     const response = await post(`${url}/v1/jobs`, JSON.stringify(job));
