--- a/src/core/worker-commands.ts
+++ b/src/core/worker-commands.ts
@@ -1,7 +1,8 @@
 /** Compares a worker's report with the log: commands due to the worker, and facts to be recorded. */
 import { JOB_CANCELLED, type TaskAttempt, type Machine } from './model.js';
 import type { ClusterState } from './state.js';
-import type { AttemptNumber, EndCause, Command, LogEntry, Fence, JobId, WorkerReport } from './types.js';
+import type { AttemptNumber, EndCause, Command, LogEntry, Fence, JobId } from './types.js';
+import type { TaskReport, WorkerReport } from './types.js';
 import type { AttemptKey, UnsettledCalls } from './unsettled-calls.js';
 
 /** What this leader knows of one worker. */
@@ -24,6 +25,13 @@
 export const attemptKey = (job: string, task: number, attempt: number): AttemptKey =>
   `${job}/${task}#${attempt}`;
 
+/** What identifies an attempt in a command. */
+interface AttemptReference {
+  job: JobId;
+  task: number;
+  attempt: AttemptNumber;
+}
+
 /** The end of one attempt, as a log entry holds it. */
 export type TaskEnd = [job: JobId, task: number, attempt: number, cause: EndCause, saved: boolean];
 
@@ -72,7 +80,7 @@
 /**
  * The commands that bring a worker from what it reports to what the log says. They are derived from committed
  * records alone, so a decision is never sent before its record is written, and a new leader sends again
- * exactly the starts that the report does not show.
+ * exactly the starts that the report does not show. Stops of unsettled cancellations are the exception.
  */
 export function commandsForWorker(
   state: ClusterState,
@@ -81,58 +89,85 @@
   mayStart: boolean,
   unsettled: UnsettledCancellations = NO_CANCELLATIONS,
 ): WorkerCommands {
-  const report = worker.report;
+  const { report } = worker;
   const machine = state.machines.get(report.machine);
-  const commands: Command[] = [];
-  const undeliveredStarts: TaskAttempt[] = [];
-  let fenceToExceed: Fence | null = null;
-  const raiseAbove = (fence: Fence): void =>
-    void (fenceToExceed = Math.max(fenceToExceed ?? 0, fence) as Fence);
-  if (!machine || machine.session !== report.session) return { commands, undeliveredStarts, fenceToExceed };
+  const due: WorkerCommands = { commands: [], undeliveredStarts: [], fenceToExceed: null };
+  if (!machine || machine.session !== report.session) return due;
   const reportedAttempts = new Set<TaskAttempt>();
   for (const reported of report.tasks) {
-    const logged = state.jobs.get(reported.job)?.live.get(reported.task);
-    const isCurrent =
-      logged !== undefined && logged.attempt === reported.attempt && logged.machine === machine;
-    if (isCurrent) reportedAttempts.add(logged);
-    // The usual case, a task that runs as logged, ends here: most reports show nothing new.
+    const logged = loggedAttempt(state, machine, reported);
+    if (logged) reportedAttempts.add(logged);
     const isUnsettled = unsettled.has(reported.job);
-    if (isCurrent && !logged.stop && !isUnsettled && reported.state !== 'exited') continue;
-    const ref = { job: reported.job, task: reported.task, attempt: reported.attempt };
-    if (reported.state === 'exited') {
-      // Upholds ran_twice and ran_cancelled: a worker that has forgotten an attempt runs it again if a call
-      // with its start arrives late. It may forget the attempt only when its end is in a record and every
-      // such call is settled.
-      const fence = worker.unsettledCalls.highestFenceOf(
-        attemptKey(reported.job, reported.task, reported.attempt),
-      );
-      if (fence !== null) raiseAbove(fence);
-      else if (!isCurrent) commands.push({ op: 'forget', ...ref });
-    } else if (!isCurrent || isUnsettled) commands.push({ op: 'stop', ...ref, grace: 0 });
-    else if (logged.stop && (reported.state !== 'saving' || logged.stop.grace === 0))
-      commands.push({ op: 'stop', ...ref, grace: logged.stop.grace });
+    // The usual case, a task that runs as logged, ends here: most reports show nothing new.
+    if (logged && !logged.stop && !isUnsettled && reported.state !== 'exited') continue;
+    if (reported.state === 'exited') addForExited(due, worker, reported, logged !== null);
+    else addStop(due, reported, isUnsettled ? null : logged);
   }
-  if (reportedAttempts.size === machine.live.size) return { commands, undeliveredStarts, fenceToExceed };
+  if (reportedAttempts.size === machine.live.size) return due;
   for (const attempt of machine.live) {
     if (attempt.session !== machine.session || reportedAttempts.has(attempt)) continue;
-    const key = attemptKey(attempt.job.spec.id, attempt.task, attempt.attempt);
-    if (!attempt.stop && !unsettled.has(attempt.job.spec.id)) {
-      if (mayStart && !machine.drop)
-        commands.push({
-          op: 'start',
-          job: attempt.job.spec.id,
-          task: attempt.task,
-          attempt: attempt.attempt,
-        });
-      continue;
-    }
-    // Prevents starts after a confirmed cancellation: a start that may still arrive is neither repeated nor
-    // stopped (the worker does not know the task yet), but invalidated by a higher fence.
-    const fence = worker.unsettledCalls.highestFenceOf(key);
-    if (fence !== null) raiseAbove(fence);
-    else if (attempt.stop && !worker.startedInAnswer.has(key) && mayStart) undeliveredStarts.push(attempt);
+    const mustNotStart = attempt.stop !== null || unsettled.has(attempt.job.spec.id);
+    if (mustNotStart) addForUndelivered(due, worker, attempt, mayStart);
+    else if (mayStart && !machine.drop) due.commands.push({ op: 'start', ...referenceTo(attempt) });
   }
-  return { commands, undeliveredStarts, fenceToExceed };
+  return due;
+}
+
+/** The attempt that the log has on the machine; null if it does not have the reported one there. */
+function loggedAttempt(state: ClusterState, machine: Machine, reported: TaskReport): TaskAttempt | null {
+  const logged = state.jobs.get(reported.job)?.live.get(reported.task);
+  return logged?.attempt === reported.attempt && logged.machine === machine ? logged : null;
+}
+
+const referenceTo = ({ job, task, attempt }: TaskAttempt): AttemptReference => ({
+  ...{ job: job.spec.id, task, attempt },
+});
+
+function raiseFenceAbove(due: WorkerCommands, fence: Fence): void {
+  due.fenceToExceed = Math.max(due.fenceToExceed ?? 0, fence) as Fence;
+}
+
+/**
+ * Upholds ran_twice and ran_cancelled: a worker that has forgotten an attempt runs it again if a call with its
+ * start arrives late. It may forget the attempt only when its end is in a record and every such call is
+ * settled.
+ */
+function addForExited(
+  due: WorkerCommands,
+  worker: ObservedWorker,
+  { job, task, attempt }: TaskReport,
+  isLive: boolean,
+): void {
+  const fence = worker.unsettledCalls.highestFenceOf(attemptKey(job, task, attempt));
+  if (fence !== null) raiseFenceAbove(due, fence);
+  else if (!isLive) due.commands.push({ op: 'forget', job, task, attempt });
+}
+
+/** Stops a reported task as the log says; at once if the log does not know the attempt. */
+function addStop(
+  due: WorkerCommands,
+  { job, task, attempt, state }: TaskReport,
+  logged: TaskAttempt | null,
+): void {
+  const grace = logged?.stop?.grace ?? 0;
+  if (state !== 'saving' || grace === 0) due.commands.push({ op: 'stop', job, task, attempt, grace });
+}
+
+/**
+ * Prevents starts after a confirmed cancellation: a start that may still arrive is neither repeated nor stopped
+ * (the worker does not know the task yet), but invalidated by a higher fence.
+ */
+function addForUndelivered(
+  due: WorkerCommands,
+  worker: ObservedWorker,
+  attempt: TaskAttempt,
+  mayStart: boolean,
+): void {
+  const { job, task, attempt: number } = referenceTo(attempt);
+  const key = attemptKey(job, task, number);
+  const fence = worker.unsettledCalls.highestFenceOf(key);
+  if (fence !== null) raiseFenceAbove(due, fence);
+  else if (attempt.stop && !worker.startedInAnswer.has(key) && mayStart) due.undeliveredStarts.push(attempt);
 }
 
 /** Whether an attempt is stopped because its job was cancelled. */
