Test a cancellation that was never written, with a new leader

Cause: only a leader that restarts was tested. Change: the state service refuses the leader alone and another one takes over; the job is done, and its user was never told otherwise.

--- a/test/unsettled-cancellations.test.ts
+++ b/test/unsettled-cancellations.test.ts
@@ -160,43 +160,58 @@
 
 // Guards against harm done by stops for a cancellation that turns out not to be in the log.
 describe('a cancellation that was never written and that nobody was told of', () => {
-  /** The leader restarts before its write gets through; the user asks about the job, and cancels no more. */
+  /** The leader loses its place before its write gets through; the user asks about the job, and cancels no more. */
   const runUnwritten = async (
     seed: number,
-    crashAfterMs: number,
-    job: Partial<JobOnWire>,
+    overrides: Partial<JobOnWire>,
+    endLeader: (world: World, leader: number) => Promise<void>,
   ): Promise<World> => {
     const world = await startWorld(seed);
-    const long = world.job({ shifts: 4, reckon_s: 100, ...job });
+    const long = world.job({ shifts: 4, reckon_s: 100, ...overrides });
     const { kept } = submitWork(world);
     world.user(long);
     await world.time.run(30_000);
     expect(world.checker.startCountOf(long.name_id)).toBe(4);
-    const leader = world.leader();
-    world.state.outage(crashAfterMs + 3000);
-    void world.ask('withdraw', long.name_id, undefined, leader);
-    await world.time.run(crashAfterMs);
-    world.crash(leader, 300);
+    await endLeader(world, world.leader());
     await world.time.runUntil(() => world.checker.standing(long.name_id) === 'done', 400_000);
     expect(world.checker.standing(long.name_id)).toBe('done');
     expect(world.checker.standing(kept.name_id)).toBe('done');
     world.checker.finish();
     expect(world.checker.violations).toEqual([]);
-    return Object.assign(world, { long });
+    return world;
+  };
+  /** An outage, in which the leader restarts. */
+  const restartAfter =
+    (ms: number) =>
+    async (world: World, leader: number): Promise<void> => {
+      world.state.outage(ms + 3000);
+      void world.ask('withdraw', idOfLongJob, undefined, leader);
+      await world.time.run(ms);
+      world.crash(leader, 300);
+    };
+  /** The state service refuses the leader alone, and another node takes over. */
+  const depose = async (world: World, leader: number): Promise<void> => {
+    refuseStateRequests(world, leader, 30_000);
+    void world.ask('withdraw', idOfLongJob, undefined, leader);
+    await world.time.runUntil(() => world.leader() >= 0 && world.leader() !== leader, 20_000);
   };
   const idOfLongJob = 'wk-000001';
 
   for (const seed of [610, 611, 612]) {
     it(`the job runs on if its leader restarts at once, seed ${seed}`, async () => {
-      const world = await runUnwritten(seed, 1000, {});
+      const world = await runUnwritten(seed, {}, restartAfter(1000));
       expect(world.checker.startCountOf(idOfLongJob)).toBe(4);
     });
     it(`the job runs again if its tasks were stopped, seed ${seed}`, async () => {
-      const world = await runUnwritten(seed, 15_000, {});
+      const world = await runUnwritten(seed, {}, restartAfter(15_000));
       expect(world.checker.startCountOf(idOfLongJob)).toBe(8);
     });
+    it(`the job runs on or again under another leader, seed ${seed}`, async () => {
+      const world = await runUnwritten(seed, {}, depose);
+      expect([4, 8]).toContain(world.checker.startCountOf(idOfLongJob));
+    });
     it(`a gang runs again if its tasks were stopped, seed ${seed}`, async () => {
-      const world = await runUnwritten(seed, 15_000, { shape: 'ensemble' });
+      const world = await runUnwritten(seed, { shape: 'ensemble' }, restartAfter(15_000));
       expect(world.checker.startCountOf(idOfLongJob)).toBe(8);
     });
   }
