Split log entries by bytes, and let a rejected record block nothing

Cause: the ends that one report shows were one entry of 11 KB, above the 8 KiB of a value; every 400 of the state service was read as a lost lease and the write repeated for good.

Change: a request is split by bytes before it is queued, as far as its lists take effect item by item; 400 is a typed result of its own (`rejected`), upon which requests are written one by one and in halves, and what can't be split is given up, logged as an error and counted. Stored formats are unchanged.

--- a/src/actors/controller.ts
+++ b/src/actors/controller.ts
@@ -5,7 +5,7 @@
 import { sleep } from '../io/clock.js';
 import { LEADER_KEY, readLeaderValue, type LeaderValue } from '../wire/keys.js';
 import { Follower } from './follower.js';
-import { LeaderActor, type LeaderDependencies } from './leader.js';
+import { LeaderActor, type LeaderDependencies, type LeaderStatistics } from './leader.js';
 import { HandOver } from './hand-over.js';
 import { WORKER_HEARD_MAX_AGE_MS, LeaderTracker } from './leader-tracker.js';
 import type { RenewalStatistics } from './lease.js';
@@ -13,7 +13,6 @@
 import { STATUS_MAX_AGE_MS } from './state-service-monitor.js';
 import { UncertainAnswerPolicy } from './uncertain-answers.js';
 import { UserRequests } from './user-requests.js';
-import type { WorkerStatistics } from './worker-messages.js';
 
 const WATCHDOG_PERIOD_MS = 700;
 const HAND_OVER_CHECK_PERIOD_MS = 250;
@@ -209,10 +208,10 @@
     return this.follower.state.nextRecord;
   }
 
-  /** Statistics of the calls to workers and of lease renewals; empty without the lock. */
-  leaderStatistics(): Partial<WorkerStatistics> & { renewals?: RenewalStatistics } {
+  /** Statistics of the calls to workers, of the log and of lease renewals; empty without the lock. */
+  leaderStatistics(): Partial<LeaderStatistics> & { renewals?: RenewalStatistics } {
     const renewals = this.lock.renewalStatistics();
-    return { ...this.leaderActor?.workers.statistics(), ...(renewals ? { renewals } : {}) };
+    return { ...this.leaderActor?.statistics(), ...(renewals ? { renewals } : {}) };
   }
 
   /** The state as this node would write it into a snapshot now. */
--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -25,6 +25,7 @@
 import { RoundPlanner, type RoundPlan } from './round-planner.js';
 import type { Compress, VersionedSnapshotHead } from './snapshot.js';
 import { Snapshotter } from './snapshotter.js';
+import type { WorkerStatistics } from './worker-messages.js';
 import { WorkersActor } from './workers.js';
 
 /** What a leader uses from the rest of the process. */
@@ -61,6 +62,12 @@
   isStillFollowed: () => boolean;
 }
 
+/** Statistics for operators, counted since this node began to lead. */
+export type LeaderStatistics = WorkerStatistics & {
+  /** Entries that the state service takes in no form. */
+  rejectedEntries: number;
+};
+
 /** Interval of ticks, and the longest delay of a round that an event triggers. */
 const TICK_INTERVAL_MS = 1000;
 /** Shortest delay between an event and the round that it triggers. */
@@ -188,6 +195,10 @@
     });
   }
 
+  statistics(): LeaderStatistics {
+    return { ...this.workers.statistics(), rejectedEntries: this.log.rejectedEntries };
+  }
+
   private tick(): void {
     if (this.stopped) return;
     this.cancelTick = this.clock.after(TICK_INTERVAL_MS, () => this.tick());
--- a/src/actors/log.ts
+++ b/src/actors/log.ts
@@ -1,17 +1,17 @@
 /** Appends the leader's entries to the log in the state service, as records in guarded transactions. */
 import { Subject } from 'rxjs';
 import type { ClusterState } from '../core/state.js';
-import type { JobId, LogRecord, RecordNumber, Term } from '../core/types.js';
+import type { JobId, LogRecord, RecordNumber, Term, WallMs } from '../core/types.js';
 import { NO_CANCELLATIONS, type UnsettledCancellations } from '../core/worker-commands.js';
-import { sleep, type Cancel, type Clock } from '../io/clock.js';
+import type { Cancel, Clock } from '../io/clock.js';
 import type { Logger } from '../io/logger.js';
-import { LEADER_KEY, recordKey } from '../wire/keys.js';
-import type { StateServiceClient, TransactionResult } from '../wire/state-service.js';
+import type { StateServiceClient } from '../wire/state-service.js';
 import { Actor } from './actor.js';
 import { TokenBucket } from './token-bucket.js';
-import { COPY_TIMEOUT_MS, HedgedTransaction } from './hedged-transaction.js';
 import { InFlightWrite, WRITE_TIMEOUT_MS } from './in-flight-write.js';
-import { requestsForRecord, type AppendRequest, type Batch, type QueuedRequest } from './record-batches.js';
+import { maxEntriesBytes, requestsForRecord, splitRequest } from './record-batches.js';
+import type { AppendRequest, Batch, QueuedRequest } from './record-batches.js';
+import { RecordWriter } from './record-writer.js';
 
 export interface LogOptions {
   state: ClusterState;
@@ -37,11 +37,6 @@
 const BATCH_DELAY_MS = 100;
 /** Size limit of a transaction without its guards and framing. */
 const MAX_TXN_BYTES = 60 * 1024;
-/** Delay before a write is repeated, for each result that does not settle it. */
-const RETRY_AFTER_MS: Record<TransactionResult['outcome'], number> = {
-  ...{ done: 0, failed: 100, refused: 150, no_lease: 30, unknown: 30 },
-};
-
 /**
  * Writes the leader's log by group commit: one transaction at a time, each guarded by the version of the
  * leader key. A burst of entries fills several records of one transaction.
@@ -49,6 +44,8 @@
 export class LogActor extends Actor<AppendRequest> {
   private urgent: QueuedRequest[] = [];
   private queue: QueuedRequest[] = [];
+  /** Requests of rejected writes; each is written alone, before all others. */
+  private isolated: QueuedRequest[] = [];
   private isWriting = false;
   private lastWriteAt = -Infinity;
   private lastTag = 0;
@@ -56,11 +53,14 @@
   private readonly clock: Clock;
   private readonly limits: LogOptions['limits'];
   private readonly rateLimit: TokenBucket;
+  private readonly writer: RecordWriter;
   private cancelWait: Cancel | null = null;
   /** Records that were written and applied, in order. */
   readonly committed = new Subject<{ recordNumber: RecordNumber; record: LogRecord }>();
   /** Count of the writes that succeeded, and their total duration. */
   readonly writes = { count: 0, ms: 0 };
+  /** Count of the entries that could not be written in any form. */
+  rejectedEntries = 0;
 
   constructor(private readonly options: LogOptions) {
     super();
@@ -69,6 +69,7 @@
     this.clock = clock;
     this.limits = limits;
     const burst = Math.max(1, Math.floor(limits.write_rps * BURST_S));
+    this.writer = new RecordWriter(options, () => this.stopped);
     this.rateLimit = new TokenBucket(clock, limits.write_rps * WRITE_RATE_SHARE, burst);
   }
 
@@ -133,8 +134,8 @@
 
   protected receive(request: AppendRequest): void {
     if (request.entries.length === 0) return request.onSettled?.(true);
-    const queued = { ...request, bytes: Buffer.byteLength(JSON.stringify(request.entries)) };
-    (request.urgent ? this.urgent : this.queue).push(queued);
+    const maxBytes = maxEntriesBytes(this.limits.value_kb * 1024);
+    (request.urgent ? this.urgent : this.queue).push(...splitRequest(request, maxBytes));
     this.pump();
   }
 
@@ -143,10 +144,11 @@
     if (this.isWriting || this.stopped) return;
     this.cancelWait?.();
     this.cancelWait = null;
-    if (this.urgent.length + this.queue.length === 0) return;
+    const urgentCount = this.isolated.length + this.urgent.length;
+    if (urgentCount + this.queue.length === 0) return;
     const waitMs = Math.max(
       this.rateLimit.waitMs,
-      this.urgent.length > 0 ? 0 : this.lastWriteAt + BATCH_DELAY_MS - this.clock.steady(),
+      urgentCount > 0 ? 0 : this.lastWriteAt + BATCH_DELAY_MS - this.clock.steady(),
     );
     if (waitMs > 0) this.cancelWait = this.clock.after(Math.ceil(waitMs), () => this.pump());
     else void this.write();
@@ -154,6 +156,8 @@
 
   /** Takes queued requests, urgent ones first, up to the limits of a transaction and of the write rate. */
   private takeBatches(): Batch[] {
+    const isolated = this.isolated.shift();
+    if (isolated) return [this.batchOf([isolated], this.clock.wall())];
     const valueBytes = this.limits.value_kb * 1024;
     const allowedRecords = Math.max(1, Math.floor(this.rateLimit.available));
     const maxRecords = Math.min(allowedRecords, this.limits.txn_ops, Math.floor(MAX_TXN_BYTES / valueBytes));
@@ -164,17 +168,18 @@
     while (batches.length < Math.max(1, maxRecords) && taken < all.length) {
       const requests = requestsForRecord(all, taken, valueBytes);
       taken += requests.length;
-      const entries = requests.flatMap((request) => request.entries);
-      batches.push({
-        requests,
-        record: { term: this.options.term, tag: ++this.lastTag, at, entries },
-      });
+      batches.push(this.batchOf(requests, at));
     }
     this.queue = all.slice(Math.max(taken, this.urgent.length));
     this.urgent = this.urgent.slice(taken);
     return batches;
   }
 
+  private batchOf(requests: QueuedRequest[], at: WallMs): Batch {
+    const entries = requests.flatMap((request) => request.entries);
+    return { requests, record: { term: this.options.term, tag: ++this.lastTag, at, entries } };
+  }
+
   private async write(): Promise<void> {
     if (this.stopped) return;
     this.isWriting = true;
@@ -187,59 +192,47 @@
     const write = new InFlightWrite(records, startedAt);
     this.inFlight = write;
     const cancelTimeout = this.clock.after(WRITE_TIMEOUT_MS, () => this.logUnsettled(first, write));
-    const isWritten = await this.writeUntilSettled(first, batches);
+    const result = await this.writer.write(first, records);
     cancelTimeout();
-    if (!isWritten) return this.reject(batches.flatMap(({ requests }) => requests));
-    const tookMs = this.clock.steady() - startedAt;
-    this.writes.count++;
-    this.writes.ms += tookMs;
-    this.options.onWritten(tookMs);
-    this.commit(first, batches);
+    const requests = batches.flatMap((batch) => batch.requests);
+    if (result.outcome === 'abandoned') return this.abandon(requests);
+    if (result.outcome === 'rejected') this.isolate(requests, result.error);
+    else {
+      this.countWrite(this.clock.steady() - startedAt);
+      this.commit(first, batches);
+    }
     this.notifySettled();
     this.isWriting = false;
     this.pump();
   }
 
-  private logUnsettled(recordNumber: RecordNumber, { cancelledJobs }: InFlightWrite): void {
-    if (this.stopped || cancelledJobs.size === 0) return;
-    this.options.logger.info({ no: recordNumber, jobs: [...cancelledJobs] }, 'cancellations unsettled');
+  private countWrite(tookMs: number): void {
+    this.writes.count++;
+    this.writes.ms += tookMs;
+    this.options.onWritten(tookMs);
   }
 
   /**
-   * Writes the records and resolves to true when they are known to be written, to false when this leader will
-   * never write them. The records don't change until they are settled: a write without an answer is repeated
-   * as it is, and the guard on the absence of their keys lets only one of the copies through.
+   * Has rejected requests written one by one, and a single one in smaller parts. An entry that can't be split
+   * is given up: it must not keep this leader and the next ones from writing anything else.
    */
-  private async writeUntilSettled(first: RecordNumber, batches: readonly Batch[]): Promise<boolean> {
-    const puts = batches.map(({ record }, index) => ({ put: recordKey(first + index), value: record }));
-    const absent = puts.map(({ put }) => ({ key: put, stamp: 0 }));
-    const guards = [{ key: LEADER_KEY, stamp: this.options.leaderVersion }, ...absent];
-    const copies = new HedgedTransaction(this.clock, () =>
-      this.options.store.transact(guards, puts, COPY_TIMEOUT_MS),
-    );
-    while (!this.stopped) {
-      const result = await copies.next();
-      if (this.stopped) return false;
-      if (result.outcome === 'done') return true;
-      const isOurs = result.outcome === 'failed' ? await this.isWrittenByUs(first, batches[0]!.record) : null;
-      if (this.stopped) return false;
-      if (isOurs) return true;
-      if (isOurs === false) {
-        const refused = result.outcome === 'failed' ? result.keys.join(', ') : '';
-        this.options.onDeposed(`record ${first} was refused (${refused})`);
-        return false;
-      }
-      await sleep(this.clock, RETRY_AFTER_MS[result.outcome]);
-    }
-    return false;
+  private isolate(requests: QueuedRequest[], error: string): void {
+    const [request] = requests;
+    const parts =
+      requests.length > 1 || !request ? requests : splitRequest(request, Math.floor(request.bytes / 2));
+    if (parts.length > 1) return void this.isolated.unshift(...parts);
+    if (!request) return;
+    this.rejectedEntries++;
+    const { bytes, entries } = request;
+    const kinds = entries.map((entry) => entry.e);
+    const limitBytes = this.limits.value_kb * 1024;
+    this.options.logger.error({ kinds, bytes, limitBytes, error }, 'entry rejected by the state service');
+    request.onSettled?.(false);
   }
 
-  /** Whether a refused record was written already by another copy; null when it can't be read. */
-  private async isWrittenByUs(recordNumber: RecordNumber, record: LogRecord): Promise<boolean | null> {
-    const item = await this.options.store.get(recordKey(recordNumber), COPY_TIMEOUT_MS);
-    if (item === undefined) return null;
-    const stored = item?.value as LogRecord | undefined;
-    return stored !== undefined && stored.term === record.term && stored.tag === record.tag;
+  private logUnsettled(recordNumber: RecordNumber, { cancelledJobs }: InFlightWrite): void {
+    if (this.stopped || cancelledJobs.size === 0) return;
+    this.options.logger.info({ no: recordNumber, jobs: [...cancelledJobs] }, 'cancellations unsettled');
   }
 
   private commit(first: RecordNumber, batches: readonly Batch[]): void {
@@ -258,7 +251,7 @@
     }
   }
 
-  private reject(requests: AppendRequest[]): void {
+  private abandon(requests: AppendRequest[]): void {
     for (const request of requests) request.onSettled?.(false);
   }
 
@@ -266,7 +259,8 @@
     super.stop();
     this.cancelWait?.();
     this.notifySettled();
-    const unwritten = [...this.urgent, ...this.queue];
+    const unwritten = [...this.isolated, ...this.urgent, ...this.queue];
+    this.isolated = [];
     this.urgent = [];
     this.queue = [];
     for (const request of unwritten) request.onSettled?.(false);
--- a/src/actors/record-batches.ts
+++ b/src/actors/record-batches.ts
@@ -1,4 +1,5 @@
-/** Groups queued requests into the records of one write. */
+/** Splits requests that are too large for a record, and groups requests into the records of one write. */
+import { groupEntries } from '../core/split-entry.js';
 import type { LogEntry, LogRecord } from '../core/types.js';
 
 /** A request to append entries to the log. */
@@ -24,6 +25,29 @@
 /** Part of a value's size limit that is kept for what a record holds beside its entries. */
 const RECORD_FRAME_BYTES = 300;
 
+/** How many bytes of entries fit into a record. */
+export const maxEntriesBytes = (valueBytes: number): number => valueBytes - RECORD_FRAME_BYTES;
+
+const sizeOf = (entries: readonly LogEntry[]): number => Buffer.byteLength(JSON.stringify(entries));
+
+/**
+ * The request, or its parts in order if its entries take more than `maxBytes`. The request's callback is called
+ * once all parts are settled.
+ */
+export function splitRequest(request: AppendRequest, maxBytes: number): QueuedRequest[] {
+  const bytes = sizeOf(request.entries);
+  if (bytes <= maxBytes) return [{ ...request, bytes }];
+  const groups = groupEntries(request.entries, maxBytes);
+  if (groups.length === 1) return [{ ...request, bytes }];
+  let remaining = groups.length;
+  let areAllWritten = true;
+  const onSettled = (ok: boolean): void => {
+    areAllWritten &&= ok;
+    if (--remaining === 0) request.onSettled?.(areAllWritten);
+  };
+  return groups.map((entries) => ({ entries, urgent: request.urgent, bytes: sizeOf(entries), onSettled }));
+}
+
 /** The requests from an index on that fit into one value of the state service, at least one. */
 export function requestsForRecord(
   all: readonly QueuedRequest[],
--- a/src/actors/snapshotter.ts
+++ b/src/actors/snapshotter.ts
@@ -144,6 +144,10 @@
         const result = await store.transact(guards, part);
         if (result.outcome === 'done') return result.revision;
         if (result.outcome === 'failed') return null;
+        if (result.outcome === 'rejected') {
+          this.options.logger.error({ error: result.error }, 'snapshot rejected by the state service');
+          return null;
+        }
       }
       await sleep(clock, RETRY_MS);
     }
--- a/src/wire/schemas.ts
+++ b/src/wire/schemas.ts
@@ -218,6 +218,7 @@
 }
 
 // Answers of the state service.
+export const errorSchema = z.object({ error: z.string().nullish() });
 export const transactionSchema = z.object({ ledger: z.number(), failed: z.array(z.string()).nullish() });
 export const keySchema = z.object({
   key: z.string(),
--- a/src/wire/state-service.ts
+++ b/src/wire/state-service.ts
@@ -1,6 +1,13 @@
 /** Client of the state service: transactions, reads, watches and leases over HTTP. */
 import type { HttpCall } from '../io/http-client.js';
-import { keyListSchema, keySchema, leaseSchema, transactionSchema, watchSchema } from './schemas.js';
+import {
+  errorSchema,
+  keyListSchema,
+  keySchema,
+  leaseSchema,
+  transactionSchema,
+  watchSchema,
+} from './schemas.js';
 
 /** Version of a key: the revision of its last write; 0 stands for a key that does not exist. */
 export type Version = number;
@@ -35,7 +42,10 @@
   | { outcome: 'failed'; keys: string[] }
   /** The service answered that it was not carried out. */
   | { outcome: 'refused' }
+  /** A lease that it names has expired; it was not carried out. */
   | { outcome: 'no_lease' }
+  /** It is malformed or exceeds a limit; it was not carried out, and never will be as it is. */
+  | { outcome: 'rejected'; error: string }
   /** Without a usable answer: it may have been carried out, or may be later. */
   | { outcome: 'unknown' };
 
@@ -47,6 +57,15 @@
 /** Default time limit of each page of a list; pages can be large. */
 export const LIST_TIMEOUT_MS = 3000;
 
+const NO_LEASE_ERROR = 'no such lease';
+
+/** Reads why a transaction was answered with 400. */
+function rejection(body: unknown): TransactionResult {
+  const parsed = errorSchema.safeParse(body);
+  const error = parsed.success ? (parsed.data.error ?? '') : '';
+  return error === NO_LEASE_ERROR ? { outcome: 'no_lease' } : { outcome: 'rejected', error };
+}
+
 export class StateServiceClient {
   constructor(
     private readonly call: HttpCall,
@@ -80,7 +99,7 @@
         ? { outcome: 'done', revision: parsed.data.ledger }
         : { outcome: 'failed', keys: parsed.data.failed ?? [] };
     }
-    if (response.status === 400) return { outcome: 'no_lease' };
+    if (response.status === 400) return rejection(response.body);
     return response.status === 429 || response.status === 503
       ? { outcome: 'refused' }
       : { outcome: 'unknown' };
--- a/test/fakes/state-service.ts
+++ b/test/fakes/state-service.ts
@@ -28,6 +28,8 @@
   transactionDelayMs: (transaction: Transaction) => number = () => 0;
   /** Whether a transaction is carried out at once and its answer is lost. */
   losesResponse: (transaction: Transaction) => boolean = () => false;
+  /** Whether a transaction above a limit is answered with 400; otherwise it fails the test. */
+  rejectsOversized = false;
   /** Number of requests refused with 429. */
   rateLimited = 0;
   private readonly leases = new Map<number, { durationMs: number; until: number }>();
@@ -42,7 +44,7 @@
 
   constructor(
     private readonly time: VirtualTime,
-    private readonly limits: { rps: number; write_rps: number; value_kb: number; txn_ops: number },
+    readonly limits: { rps: number; write_rps: number; value_kb: number; txn_ops: number },
   ) {
     this.expireLeases();
   }
@@ -156,8 +158,10 @@
     const tooBig = transaction.apply.some(
       (change) => JSON.stringify(change.data ?? null).length > this.limits.value_kb * 1024,
     );
-    if (transaction.apply.length > this.limits.txn_ops || tooBig)
-      throw new Error('transaction exceeds txn_ops or value_kb');
+    if (transaction.apply.length > this.limits.txn_ops || tooBig) {
+      if (!this.rejectsOversized) throw new Error('transaction exceeds txn_ops or value_kb');
+      return { status: 400, body: { error: 'too large' } };
+    }
     if (transaction.apply.some((change) => change.tenure !== undefined && !this.leases.has(change.tenure)))
       return { status: 400, body: { error: 'no such lease' } };
     const failed = transaction.guards
--- a/test/log.test.ts
+++ b/test/log.test.ts
@@ -18,25 +18,31 @@
   spec: { id: `wk-${i}`, image: 'x'.repeat(filler), tasks: 1 } as never,
 });
 
+/** A log writer and its state service, which answers after 10 ms and keeps limits of its own. */
+const createLog = (serviceLimits = limits) => {
+  const time = new VirtualTime();
+  const service = new FakeStateService(time, serviceLimits);
+  const transactions: number[] = [];
+  const store = new StateServiceClient((_address, method, path, body) => {
+    if (path === '/txn') transactions.push((body as { apply: unknown[] }).apply.length);
+    return new Promise((resolve) =>
+      time.after(10, () => void Promise.resolve(service.handle('n', method, path, body)).then(resolve)),
+    );
+  }, 'state');
+  service.kv.set('q/leader', { data: {}, stamp: 1 });
+  const state = new ClusterState();
+  const log = new LogActor({
+    ...{ state, store, limits, logger: silent, term: 1 as never, leaderVersion: 1 },
+    clock: new NodeClock(time, 1, 0),
+    onDeposed: () => expect.unreachable(),
+    onWritten: () => {},
+  });
+  return { time, service, state, store, log, transactions };
+};
+
 describe('log writer', () => {
   it('writes a burst as several records per transaction, and urgent entries before the rest', async () => {
-    const time = new VirtualTime();
-    const service = new FakeStateService(time, limits);
-    const transactions: number[] = [];
-    const store = new StateServiceClient((_address, method, path, body) => {
-      if (path === '/txn') transactions.push((body as { apply: unknown[] }).apply.length);
-      return new Promise((resolve) =>
-        time.after(10, () => void Promise.resolve(service.handle('n', method, path, body)).then(resolve)),
-      );
-    }, 'state');
-    service.kv.set('q/leader', { data: {}, stamp: 1 });
-    const state = new ClusterState();
-    const log = new LogActor({
-      ...{ state, store, limits, logger: silent, term: 1 as never, leaderVersion: 1 },
-      clock: new NodeClock(time, 1, 0),
-      onDeposed: () => expect.unreachable(),
-      onWritten: () => {},
-    });
+    const { time, service, state, log, transactions } = createLog();
     let urgentSettledAt = Infinity;
     let restSettledAt = 0;
     log.tell({ entries: [job(0)] });
@@ -51,6 +57,66 @@
     expect(service.rateLimited).toBe(0);
   });
 
+  // Guards against a log that is stuck for good on records that the state service refuses with 400.
+  it('writes what the state service rejects in smaller parts, after its limits were lowered', async () => {
+    const { time, service, state, log } = createLog({ ...limits, value_kb: 1 });
+    service.rejectsOversized = true;
+    const up = (i: number): LogEntry => ({
+      ...{
+        e: 'up',
+        m: `vm-${i}` as MachineId,
+        addr: 'x',
+        type: 'box',
+        zone: 'a',
+        spot: false,
+        s: 1 as never,
+      },
+    });
+    const all = Array.from({ length: 300 }, (_, i) => `vm-${i}` as MachineId);
+    const settled: boolean[] = [];
+    log.tell({ entries: all.map((_, i) => up(i)), onSettled: (ok) => settled.push(ok) });
+    await time.run(5000);
+    expect(state.machines.size).toBe(300);
+    log.tell({ entries: [{ e: 'drop', m: all, why: 'silent' }], onSettled: (ok) => settled.push(ok) });
+    log.tell({ entries: [job(1, 10)], urgent: true, onSettled: (ok) => settled.push(ok) });
+    await time.run(5000);
+    expect([...state.machines.values()].filter((machine) => machine.drop === null)).toEqual([]);
+    expect(state.jobs.size).toBe(1);
+    expect(settled).toEqual([true, true, true]);
+    expect(log.rejectedEntries).toBe(0);
+  });
+
+  it('gives up an entry that fits into no record, and writes the rest', async () => {
+    const { time, service, state, log } = createLog();
+    service.rejectsOversized = true;
+    const settled: [string, boolean][] = [];
+    const tell = (name: string, entry: LogEntry, urgent: boolean): void =>
+      log.tell({ entries: [entry], urgent, onSettled: (ok) => settled.push([name, ok]) });
+    tell('before', job(1), true);
+    tell('too large', job(2, 9000), true);
+    tell('beside', job(3), true);
+    tell('after', job(4), false);
+    await time.run(3000);
+    expect([...state.jobs.keys()]).toEqual(['wk-1', 'wk-3', 'wk-4']);
+    expect(settled.sort()).toEqual([
+      ['after', true],
+      ['before', true],
+      ['beside', true],
+      ['too large', false],
+    ]);
+    expect(log.rejectedEntries).toBe(1);
+  });
+
+  it('tells a lease that has ended from a transaction that is never carried out', async () => {
+    const { time, service, store } = createLog();
+    service.rejectsOversized = true;
+    const results: unknown[] = [];
+    void store.transact([], [{ put: 'q/x', value: 1, lease: 99 }]).then((result) => results.push(result));
+    void store.transact([], [{ put: 'q/x', value: 'x'.repeat(9000) }]).then((result) => results.push(result));
+    await time.run(100);
+    expect(results).toEqual([{ outcome: 'no_lease' }, { outcome: 'rejected', error: 'too large' }]);
+  });
+
   it('gets the return of a thousand machines in entries that each fit into a record', () => {
     const state = new ClusterState();
     const up = (i: number): LogEntry => ({
--- a/test/stored-data.test.ts
+++ b/test/stored-data.test.ts
@@ -85,7 +85,7 @@
     expect(paths(controller.leaderStatistics()).sort()).toEqual(
       [
         ...['directCalls.sent', 'directCalls.answered', 'directCalls.givenUp', 'directCalls.open'],
-        ...['unsettledCalls', 'unsettledCancellations', 'fencesRaised'],
+        ...['unsettledCalls', 'unsettledCancellations', 'fencesRaised', 'rejectedEntries'],
         ...['renewals.sent', 'renewals.timely', 'renewals.late', 'renewals.refused', 'renewals.unanswered'],
         ...['renewals.uncertainMs'],
       ].sort(),
