--- a/test/large-records.test.ts
+++ b/test/large-records.test.ts
@@ -1,5 +1,11 @@
 import { describe, expect, it } from 'vitest';
-import { cancelUntilConfirmed, expectAllAnswered, expectAllOver, resolved } from './fakes/scenarios.js';
+import {
+  CANCEL_MS,
+  cancelUntilConfirmed,
+  expectAllAnswered,
+  expectAllOver,
+  resolved,
+} from './fakes/scenarios.js';
 import { box, World } from './fakes/world.js';
 
 const startSmallLimits = async (
@@ -34,6 +40,33 @@
       });
 });
 
+describe('an array of the largest size', () => {
+  /** A user waits so long for an answer; the tasks' and the other work's bounds are those of the protocol. */
+  const ANSWER_MS = 5000;
+  const MAX_WAIT_MS = 90_000;
+  it('is cancelled, gone and followed by other work in time', async () => {
+    const world = await startSmallLimits(645, { value_kb: 8, txn_ops: 24 });
+    const large = world.job({ shifts: 100_000, cpus: 0.25, mem_gb: 0.1, reckon_s: 600 });
+    world.user(large);
+    await world.time.run(60_000);
+    const present = (): number =>
+      [...world.workers.values()].flatMap(({ tasks }) =>
+        [...tasks.values()].filter((task) => task.job === large && task.standing !== 'ended'),
+      ).length;
+    expect(present()).toBeGreaterThan(200);
+    const askedAt = world.time.now;
+    const toldAt = await cancelUntilConfirmed(world, large.name_id, () => world.leader());
+    expect(toldAt - askedAt).toBeLessThan(ANSWER_MS);
+    const later = world.job({ shifts: 20, reckon_s: 5 });
+    world.user(later);
+    await world.time.runUntil(() => present() === 0, CANCEL_MS);
+    expect(present()).toBe(0);
+    await world.time.runUntil(() => world.checker.startCountOf(later.name_id) === 20, MAX_WAIT_MS);
+    expect(world.checker.startCountOf(later.name_id)).toBe(20);
+    await expectAllOver(world, 60);
+  });
+});
+
 // Guards against a gang that never starts, or starts twice, because its starts are divided between records.
 describe('a gang whose starts take several transactions', () => {
   for (const seed of [650, 651])
