Tests: one machine entry for the log tests, no unused options in the fakes

Cause: reading the whole change once more. log.test.ts built the entry of a machine twice; the fake of the workers actor took unsettled cancellations that no test gave it, and the fake state service showed its limits to nobody.

--- a/test/fakes/state-service.ts
+++ b/test/fakes/state-service.ts
@@ -44,7 +44,7 @@
 
   constructor(
     private readonly time: VirtualTime,
-    readonly limits: { rps: number; write_rps: number; value_kb: number; txn_ops: number },
+    private readonly limits: { rps: number; write_rps: number; value_kb: number; txn_ops: number },
   ) {
     this.expireLeases();
   }
--- a/test/fakes/workers-actor.ts
+++ b/test/fakes/workers-actor.ts
@@ -3,7 +3,7 @@
 import type { AppendRequest } from '../../src/actors/record-batches.js';
 import type { ClusterState } from '../../src/core/state.js';
 import type { Term } from '../../src/core/types.js';
-import { NO_CANCELLATIONS, type UnsettledCancellations } from '../../src/core/worker-commands.js';
+import { NO_CANCELLATIONS } from '../../src/core/worker-commands.js';
 import type { HttpCall } from '../../src/io/http-client.js';
 import { NodeClock, type VirtualTime } from './clock.js';
 import { silent } from './world.js';
@@ -19,17 +19,13 @@
   append?: (append: AppendRequest) => void;
   term?: number;
   maxOpenCalls?: number;
-  unsettledCancellations?: UnsettledCancellations;
 }
 
 /** The workers actor of a leader with a certain lock. */
 export const createWorkersActor = (fixture: WorkersActorFixture): WorkersActor =>
   new WorkersActor({
     ...{ state: fixture.state, call: fixture.call, logger: silent },
-    log: {
-      tell: fixture.append ?? (() => {}),
-      unsettledCancellations: fixture.unsettledCancellations ?? NO_CANCELLATIONS,
-    } as never,
+    log: { tell: fixture.append ?? (() => {}), unsettledCancellations: NO_CANCELLATIONS } as never,
     clock: new NodeClock(fixture.time, 1, 0),
     term: (fixture.term ?? 1) as Term,
     reportPeriodS: REPORT_PERIOD_S,
--- a/test/log.test.ts
+++ b/test/log.test.ts
@@ -18,6 +18,11 @@
   spec: { id: `wk-${i}`, image: 'x'.repeat(filler), tasks: 1 } as never,
 });
 
+const machineId = (i: number): MachineId => `vm-${String(i).padStart(6, '0')}` as MachineId;
+const up = (i: number): LogEntry => ({
+  ...{ e: 'up', m: machineId(i), addr: 'x', type: 'box', zone: 'a', spot: false, s: 1 as never },
+});
+
 /** A log writer and its state service, which answers after 10 ms and keeps limits of its own. */
 const createLog = (serviceLimits = limits) => {
   const time = new VirtualTime();
@@ -61,18 +66,7 @@
   it('writes what the state service rejects in smaller parts, after its limits were lowered', async () => {
     const { time, service, state, log } = createLog({ ...limits, value_kb: 1 });
     service.rejectsOversized = true;
-    const up = (i: number): LogEntry => ({
-      ...{
-        e: 'up',
-        m: `vm-${i}` as MachineId,
-        addr: 'x',
-        type: 'box',
-        zone: 'a',
-        spot: false,
-        s: 1 as never,
-      },
-    });
-    const all = Array.from({ length: 300 }, (_, i) => `vm-${i}` as MachineId);
+    const all = Array.from({ length: 300 }, (_, i) => machineId(i));
     const settled: boolean[] = [];
     log.tell({ entries: all.map((_, i) => up(i)), onSettled: (ok) => settled.push(ok) });
     await time.run(5000);
@@ -119,15 +113,6 @@
 
   it('gets the return of a thousand machines in entries that each fit into a record', () => {
     const state = new ClusterState();
-    const up = (i: number): LogEntry => ({
-      e: 'up',
-      m: `vm-${String(i).padStart(6, '0')}` as MachineId,
-      addr: 'x',
-      type: 'box',
-      zone: 'a',
-      spot: false,
-      s: 1 as never,
-    });
     const entries = [
       { e: 'types', types: [box] } as LogEntry,
       ...Array.from({ length: 1000 }, (_, i) => up(i)),
