Forget attempts only under a fence above the answered calls of their starts

What callers saw: ran_twice.

Cause: the answer to a direct call was taken to settle it (UnsettledCalls). It shows that the call was carried out, not that no copy of it is on its way; a worker that has forgotten the attempt carries out such a copy. The class: a conclusion from an answer that nothing of the request is left.

Change: a call with starts stays known after its answer until its worker has shown a higher fence. An answer to a report that tells the worker to forget such an attempt goes under a fence above the call's own (WorkerFences). The worker sees fence and `forget` in one message, so whoever has forgotten an attempt refuses every copy of the calls that started it, however late. No timer takes part. A call that the fence overtakes is refused without loss: the answer that was there before it carries the same commands. Only the attempts of the calls under the worker's present fence are kept. A new leader's token does the same for the calls of an earlier one.

Evidence: the tests' network and the test of one worker learn copies of answered requests.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -12,9 +12,9 @@
   'src/actors/{lease,lock,log,overdue-cancellations,record-batches,record-writer,worker-messages}.ts',
   'src/actors/{pending-facts,reach-claims,report-intake,round-planner,snapshot,snapshotter,stall-monitor}.ts',
   'src/actors/{state-service-monitor,task-progress,term-announcements,token-bucket,uncertain-answers}.ts',
-  'src/actors/{user-requests,worker-reachability,worker-view,workers}.ts',
+  'src/actors/{user-requests,worker-fences,worker-reachability,worker-view,workers}.ts',
   'src/core/{candidates,chunked,claims,fit,model,orderly-stops,placement,resources,state-dump,types}.ts',
-  'src/core/{split-entry,unsettled-calls,waiting-tasks,worker-commands,zones}.ts',
+  'src/core/{fences,split-entry,unsettled-calls,waiting-tasks,worker-commands,zones}.ts',
   'tools/**/*.ts',
 ];
 
--- a/src/actors/direct-calls.ts
+++ b/src/actors/direct-calls.ts
@@ -12,6 +12,9 @@
 /** A call is given up after this time without an answer. The worker may still carry it out later. */
 export const DIRECT_CALL_TIMEOUT_MS = 2000;
 
+/** A worker's answer to a call whose token is too low or whose session is another. */
+const STATUS_REFUSED = 409;
+
 /** A direct call. Its fields appear in log lines as they stand. */
 export interface DirectCall {
   machine: MachineId;
@@ -34,8 +37,8 @@
 
 /** Opens direct calls within a limit and queues machines above it. */
 export class DirectCalls {
-  /** Counts since this node began to lead. */
-  readonly totals = { sent: 0, answered: 0, givenUp: 0 };
+  /** Counts since this node began to lead. Refused calls are among the answered ones. */
+  readonly totals = { sent: 0, answered: 0, refused: 0, givenUp: 0 };
   private openCount = 0;
   private stopped = false;
   /** Machines that wait until a call can be opened; those with stops of cancelled jobs come first. */
@@ -78,6 +81,7 @@
       if (this.stopped) return;
       this.openCount--;
       this.totals[response ? 'answered' : 'givenUp']++;
+      if (response?.status === STATUS_REFUSED) this.totals.refused++;
       const ms = Math.round(clock.steady() - sentAt);
       const { machine } = call;
       logger.debug(
--- a/src/actors/report-intake.ts
+++ b/src/actors/report-intake.ts
@@ -177,7 +177,14 @@
   /** Number of calls with starts that may still be carried out, over all workers. */
   countUnsettledCalls(): number {
     let count = 0;
-    for (const view of this.views.values()) count += view.unsettledCalls.size;
+    for (const view of this.views.values()) count += view.unsettledCalls.unansweredCount;
+    return count;
+  }
+
+  /** Number of attempts that copies of answered calls could start, had their workers forgotten them. */
+  countAnsweredStarts(): number {
+    let count = 0;
+    for (const view of this.views.values()) count += view.unsettledCalls.answeredStartCount;
     return count;
   }
 }
--- a/src/actors/worker-messages.ts
+++ b/src/actors/worker-messages.ts
@@ -44,10 +44,15 @@
 
 /** Statistics for operators, counted since this node began to lead. */
 export interface WorkerStatistics {
-  directCalls: { sent: number; answered: number; givenUp: number; open: number };
+  directCalls: { sent: number; answered: number; refused: number; givenUp: number; open: number };
   /** Calls with starts that may still be carried out: open ones, and given up ones that are not yet void. */
   unsettledCalls: number;
+  /** Attempts that copies of answered calls could start again, had their workers forgotten them. */
+  answeredStarts: number;
+  /** Fences raised to invalidate calls without an answer. */
   fencesRaised: number;
+  /** Fences raised so that workers forget attempts which answered calls had started. */
+  fencesRaisedToForget: number;
   /** Jobs whose cancellation is in a write without an answer, so that their tasks are stopped already. */
   unsettledCancellations: number;
 }
--- a/src/actors/workers.ts
+++ b/src/actors/workers.ts
@@ -9,7 +9,9 @@
   hasCancelledTasks,
   stopsForCancelledJobs,
   type UnsettledCancellations,
+  type WorkerCommands,
 } from '../core/worker-commands.js';
+import { HIGHEST_FENCE_FOR_STARTS } from '../core/fences.js';
 import { isAvailable, type Job, type TaskAttempt, type Machine } from '../core/model.js';
 import type { ClusterState } from '../core/state.js';
 import type { Command, Fence, JobId, MachineId, WorkerReport } from '../core/types.js';
@@ -25,6 +27,7 @@
 import { ReportIntake } from './report-intake.js';
 import { TaskProgress } from './task-progress.js';
 import type { FencedCommands, WorkerMessage, WorkersOptions, WorkerStatistics } from './worker-messages.js';
+import { WorkerFences } from './worker-fences.js';
 import type { WorkerView } from './worker-view.js';
 
 /** Above this many unsettled calls to a worker, starts are sent only in the answers to its reports. */
@@ -32,9 +35,12 @@
 const startedAttempts = (commands: readonly Command[]): AttemptKey[] =>
   commands.filter((c) => c.op === 'start').map((c) => attemptKey(c.job, c.task, c.attempt));
 
+const mayStartDirectly = (view: WorkerView): boolean =>
+  view.unsettledCalls.unansweredCount < MAX_UNSETTLED_CALLS && view.fence <= HIGHEST_FENCE_FOR_STARTS;
+
 /** Only answers to reports carry `forget`, since a direct call may be carried out late. */
 const maySendDirectly = (command: Command, view: WorkerView): boolean =>
-  command.op === 'stop' || (command.op === 'start' && view.unsettledCalls.size < MAX_UNSETTLED_CALLS);
+  command.op === 'stop' || (command.op === 'start' && mayStartDirectly(view));
 
 /** Communicates with the workers of one leader during one term. */
 export class WorkersActor extends Actor<WorkerMessage> {
@@ -52,7 +58,7 @@
   private readonly machinesToCallAgain = new Set<MachineId>();
   /** Jobs whose cancellation is being written. */
   private readonly jobsBeingCancelled = new Set<JobId>();
-  private fencesRaised = 0;
+  private readonly fences: WorkerFences;
 
   constructor(private readonly options: WorkersOptions) {
     super();
@@ -65,6 +71,7 @@
     this.intake = new ReportIntake({ ...options, stallMonitor: monitor, progress, pendingFacts });
     this.firstReports = new FirstReports(state, this.intake.views, monitor, clock, options.reportPeriodS);
     this.termAnnouncements = new TermAnnouncements(clock);
+    this.fences = new WorkerFences(logger);
     this.directCalls = new DirectCalls({
       ...{ call: options.call, clock, logger, term, maxOpen: options.maxOpenCalls },
       onCallAvailable: (machine) => this.sendCommandsDirectly(machine),
@@ -101,7 +108,9 @@
     return {
       directCalls: { ...this.directCalls.totals, open: this.directCalls.currentlyOpen },
       unsettledCalls: this.intake.countUnsettledCalls(),
-      fencesRaised: this.fencesRaised,
+      answeredStarts: this.intake.countAnsweredStarts(),
+      fencesRaised: this.fences.totals.raisedForUnanswered,
+      fencesRaisedToForget: this.fences.totals.raisedToForget,
       unsettledCancellations: this.unsettledCancellations.size,
     };
   }
@@ -139,7 +148,8 @@
         fence: view.fence,
         commands: machine ? stopsForCancelledJobs(this.state, machine, view.report, unsettled) : [],
       };
-    const commands = this.commandsFor(view);
+    const { commands, forgetAboveFence } = this.commandsFor(view);
+    if (forgetAboveFence !== undefined) this.fences.invalidateAnswered(view, forgetAboveFence);
     this.directCalls.dequeue(report.machine);
     for (const key of startedAttempts(commands)) view.startedInAnswer.set(key, report.seq);
     view.settledAtChange = machine && this.needsNoCommands(view, commands) ? machine.changes : null;
@@ -149,14 +159,14 @@
 
   /** Whether the next report needs no commands, as long as it repeats this one and nothing changes. */
   private needsNoCommands(view: WorkerView, commands: readonly Command[]): boolean {
-    const isSettled = view.unsettledCalls.size === 0 && view.startedInAnswer.size === 0;
+    const isSettled = view.unsettledCalls.unansweredCount === 0 && view.startedInAnswer.size === 0;
     const isFenceReported = view.fence <= view.report.fence;
     return commands.length === 0 && isSettled && isFenceReported && view.hasSeenTerm && this.isReconciled();
   }
 
   private logAnswer(view: WorkerView, commands: Command[]): void {
     const { machine, session, seq } = view.report;
-    const unsettled = view.unsettledCalls.size;
+    const unsettled = view.unsettledCalls.unansweredCount;
     this.options.logger.debug(
       { machine, session, seq, fence: view.fence, unsettled, orders: commands },
       'report answered',
@@ -164,34 +174,20 @@
   }
 
   /** The commands that a worker is due. May raise its fence and record starts that were not delivered. */
-  private commandsFor(view: WorkerView): Command[] {
-    const { commands, undeliveredStarts, fenceToExceed } = commandsForWorker(
+  private commandsFor(view: WorkerView): Pick<WorkerCommands, 'commands' | 'forgetAboveFence'> {
+    const { commands, undeliveredStarts, fenceToExceed, forgetAboveFence } = commandsForWorker(
       this.state,
       view,
       this.isReconciled(),
       this.unsettledCancellations,
     );
-    if (fenceToExceed !== null) this.raiseFence(view, fenceToExceed);
+    if (fenceToExceed !== null) this.fences.invalidateUnanswered(view, fenceToExceed);
     if (undeliveredStarts.length > 0 && view.hasSeenTerm)
       this.pendingFacts.submitNeverStarted(undeliveredStarts);
-    if (this.jobsBeingCancelled.size === 0) return commands;
-    return commands.filter((command) => command.op !== 'start' || !this.jobsBeingCancelled.has(command.job));
-  }
-
-  /**
-   * Raises the worker's fence above `fenceToExceed`. Upholds ran_twice and ran_cancelled: a call without an
-   * answer may be carried out much later. Everything sent from now on carries a higher fence, so the worker
-   * refuses the late call as soon as it has received anything newer, and its next report settles the call.
-   */
-  private raiseFence(view: WorkerView, fenceToExceed: Fence): void {
-    if (fenceToExceed < view.fence) return;
-    view.fence = (fenceToExceed + 1) as Fence;
-    this.fencesRaised++;
-    const { machine } = view.report;
-    this.options.logger.debug(
-      { machine, fence: view.fence, unsettled: view.unsettledCalls.size },
-      'fence raised',
-    );
+    const isHeldBack = (command: Command): boolean =>
+      command.op === 'start' && this.jobsBeingCancelled.has(command.job);
+    const sendable = this.jobsBeingCancelled.size > 0 ? commands.filter((c) => !isHeldBack(c)) : commands;
+    return { commands: sendable, forgetAboveFence };
   }
 
   /** Sends a worker the commands that may be sent now in a direct call, if there are any. */
@@ -209,12 +205,14 @@
     // The number of calls is limited, however many machines a record concerns. The others wait until a call
     // can be opened or their worker sends its next report.
     if (!this.directCalls.hasCapacity) return this.directCalls.enqueue(id, isUrgent);
-    const commands = maySendAll ? this.commandsFor(view).filter((c) => maySendDirectly(c, view)) : [];
+    const due = maySendAll ? this.commandsFor(view).commands : [];
+    const commands = view ? due.filter((command) => maySendDirectly(command, view)) : [];
     if (isUrgent && commands.length === 0) {
       const report = view?.report.session === machine.session ? view.report : null;
       commands.push(...stopsForCancelledJobs(this.state, machine, report, unsettled));
     }
-    const hasNewFence = view?.hasSeenTerm && view.fence > view.report.fence;
+    const hasCallToInvalidate = view?.hasSeenTerm && view.unsettledCalls.unansweredCount > 0;
+    const hasNewFence = hasCallToInvalidate && view.fence > view.report.fence;
     if (commands.length > 0 || hasNewFence) this.sendCall(machine, view, commands);
   }
 
@@ -228,7 +226,7 @@
       // Removed whatever became of the session; otherwise the worker would never be called again.
       this.machinesInCall.delete(machine.id);
       if (this.takeResponse(machine, response)) view?.unsettledCalls.answered(number);
-      else if (view && attempts.size > 0) this.raiseFence(view, fence);
+      else if (view && attempts.size > 0) this.fences.invalidateUnanswered(view, fence);
       if (this.machinesToCallAgain.delete(machine.id)) this.sendCommandsDirectly(machine.id);
     });
     if (attempts.size > 0) view?.unsettledCalls.sent({ number, fence, attempts });
--- a/src/core/worker-commands.ts
+++ b/src/core/worker-commands.ts
@@ -75,6 +75,8 @@
   undeliveredStarts: TaskAttempt[];
   /** The highest fence of calls that must not start anything any more: the worker's must become higher. */
   fenceToExceed: Fence | null;
+  /** The highest fence of answered calls that started attempts to be forgotten; undefined if there are none. */
+  forgetAboveFence?: Fence;
 }
 
 /**
@@ -129,8 +131,8 @@
 
 /**
  * Upholds ran_twice and ran_cancelled: a worker that has forgotten an attempt runs it again if a call with its
- * start arrives late. It may forget the attempt only when its end is in a record and every such call is
- * settled.
+ * start arrives late or once more. It may forget the attempt only when its end is in a record, every such call
+ * has been answered or invalidated, and together with a fence above those of the answered ones.
  */
 function addForExited(
   due: WorkerCommands,
@@ -138,9 +140,14 @@
   { job, task, attempt }: TaskReport,
   isLive: boolean,
 ): void {
-  const fence = worker.unsettledCalls.highestFenceOf(attemptKey(job, task, attempt));
-  if (fence !== null) raiseFenceAbove(due, fence);
-  else if (!isLive) due.commands.push({ op: 'forget', job, task, attempt });
+  const key = attemptKey(job, task, attempt);
+  const fence = worker.unsettledCalls.highestFenceOf(key);
+  if (fence !== null) return raiseFenceAbove(due, fence);
+  if (isLive) return;
+  due.commands.push({ op: 'forget', job, task, attempt });
+  const answeredFence = worker.unsettledCalls.highestAnsweredFenceOf(key);
+  if (answeredFence !== null)
+    due.forgetAboveFence = Math.max(due.forgetAboveFence ?? 0, answeredFence) as Fence;
 }
 
 /** Stops a reported task as the log says; at once if the log does not know the attempt. */
--- a/src/wire/reports.ts
+++ b/src/wire/reports.ts
@@ -2,6 +2,7 @@
  * Reads workers' reports and writes the answers. Most reports differ from the one before only in their
  * sequence number; those are recognised without parsing.
  */
+import { FENCES_PER_TERM } from '../core/fences.js';
 import type {
   AttemptNumber,
   EndCause,
@@ -15,7 +16,7 @@
   Term,
   WorkerReport,
 } from '../core/types.js';
-import { FENCES_PER_TERM, writeReportAnswer } from './schemas.js';
+import { writeReportAnswer } from './schemas.js';
 
 const taskStates: Readonly<Record<string, TaskState | undefined>> = {
   fetching: 'fetching',
--- a/src/wire/schemas.ts
+++ b/src/wire/schemas.ts
@@ -4,6 +4,7 @@
  * was received. The functions that read the cloud's answers throw if an answer is malformed.
  */
 import * as z from 'zod';
+import { FENCES_PER_TERM } from '../core/fences.js';
 import type {
   Command,
   Fence,
@@ -97,11 +98,9 @@
 });
 
 /**
- * Number of fences available to a leader for one worker within its term. The fencing token, `warrant` in the
- * protocol, grows with the term and, within a term, with the fence; a worker rejects any message with a lower
- * token than it has seen.
+ * The fencing token, `warrant` in the protocol, grows with the term and, within a term, with the fence of the
+ * worker; a worker rejects any message with a lower token than it has seen.
  */
-export const FENCES_PER_TERM = 2 ** 20;
 const fencingToken = (term: Term, fence: Fence): number => term * FENCES_PER_TERM + fence;
 
 const writeCommand = (command: Command): object => {
--- a/test/fakes/commands-property.ts
+++ b/test/fakes/commands-property.ts
@@ -4,8 +4,8 @@
 /** CI runs a fixed seed, so that a failure can be reproduced; the soak runs others. */
 export const SEED_IN_CI = 20261202;
 export const RUNS_IN_CI = 300;
-/** Longer than any call is delayed. */
-const DRAIN_MS = 65_000;
+/** Longer than any call is delayed, and a copy of it after that. */
+const DRAIN_MS = 125_000;
 
 /** What a run may do; the names appear in the counterexample of a failure. */
 const actions = {
@@ -13,6 +13,9 @@
   stop: (fixture: OneWorker) => fixture.stop(),
   cancel: (fixture: OneWorker) => fixture.cancel(),
   submit: (fixture: OneWorker) => fixture.submit(30),
+  fail: (fixture: OneWorker) => fixture.failTasks(),
+  copyCalls: (fixture: OneWorker) => fixture.copyCalls([1000, 20_000]),
+  pause: (fixture: OneWorker) => fixture.hang(800),
   sendCommands: (fixture: OneWorker) => fixture.sendCommands(),
   complete: (fixture: OneWorker) => fixture.completeTasks(),
   startNewSession: (fixture: OneWorker) => fixture.worker.startNewSession(),
@@ -43,20 +46,32 @@
   thenMs: fc.constantFrom(0, 100, 700, 2200, 5000),
 });
 
+/** When copies of a call that was carried out reach the worker again. */
+const copies = fc.array(fc.constantFrom(100, 1000, 3000, 20_000, 60_000), { maxLength: 2 });
+
 const fate: fc.Arbitrary<CallFate> = fc.oneof(
   { weight: 1, arbitrary: fc.constant({ deliveredAfterMs: 5, answered: true }) },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      deliveredAfterMs: fc.constant(5),
+      answered: fc.constant(true),
+      copiesAfterMs: copies,
+    }),
+  },
   {
     weight: 2,
     arbitrary: fc.record({
       deliveredAfterMs: fc.constantFrom(5, 1900, 3000, 20_000, 60_000),
       answered: fc.boolean(),
+      copiesAfterMs: copies,
     }),
   },
 );
 
 /**
- * Random sequences of decisions and failures, with random delays and lost answers of the direct calls to one
- * worker. No attempt may start after its end is recorded, and none whose end is recorded may remain on the
+ * Random sequences of decisions and failures, with random delays, lost answers and late copies of the direct
+ * calls to one worker. No attempt may start after its end is recorded, and none whose end is recorded may remain on the
  * worker.
  */
 export const commandsProperty = (): fc.IAsyncProperty<[Step[], CallFate[]]> =>
--- a/test/fakes/network.ts
+++ b/test/fakes/network.ts
@@ -43,6 +43,14 @@
    */
   requestDelayMs: (address: string, body: unknown, path: string) => number = () => 0;
 
+  /**
+   * When copies of a request that was carried out and answered reach its receiver again, in milliseconds
+   * after the answer. Nobody waits for the answers to the copies.
+   */
+  copyDelaysMs: (address: string, path: string, body: unknown) => readonly number[] = () => [];
+  /** Number of copies that were carried out, by path. */
+  readonly copiesDelivered = new Map<string, number>();
+
   /** Additional delay of the answer to a request, which itself is carried out without delay. */
   responseDelayMs: (address: string, path: string) => number = () => 0;
 
@@ -118,6 +126,20 @@
     });
   }
 
+  /** Delivers the late copies of a request that was just answered. */
+  private deliverCopies(from: string, address: string, method: string, path: string, text?: string): void {
+    const parse = (): unknown => (text === undefined ? undefined : JSON.parse(text));
+    for (const ms of this.copyDelaysMs(address, path, parse()))
+      this.time.after(ms, () =>
+        this.whenResumed(address, () => {
+          const handler = this.handlers.get(address);
+          if (!handler || this.cutBetween(from, address) || !this.receives(address)) return;
+          this.copiesDelivered.set(path, (this.copiesDelivered.get(path) ?? 0) + 1);
+          void handler(method, path, parse());
+        }),
+      );
+  }
+
   private cutBetween(x: string, y: string): { hold: boolean; until: number } | undefined {
     const matches = (pattern: string, address: string): boolean => pattern === '*' || pattern === address;
     return (
@@ -167,6 +189,7 @@
           void Promise.resolve(handler(method, path, text === undefined ? undefined : JSON.parse(text))).then(
             (answer) => {
               if (!answer) return;
+              this.deliverCopies(from, address, method, path, text);
               const json = JSON.stringify(answer.body);
               this.time.after(this.delay() + this.responseDelayMs(address, path), () => {
                 if (this.cutBetween(from, address) || !this.receives(from)) return;
--- a/test/fakes/one-worker.ts
+++ b/test/fakes/one-worker.ts
@@ -19,6 +19,8 @@
   answered: boolean;
   /** An intermediary answers 200 at once, with a body that is not a report. */
   garbled?: boolean;
+  /** When copies of the call reach the worker again after it was carried out and answered. */
+  copiesAfterMs?: readonly number[];
 }
 
 const PROMPT_CALL: CallFate = { deliveredAfterMs: 2, answered: true };
@@ -56,8 +58,14 @@
   readonly violations: string[] = [];
   /** Delays and losses of the next direct calls with a start, in order; later calls are prompt. */
   fates: CallFate[] = [];
+  /** When copies of each direct call that has no fate of its own reach the worker after it was carried out. */
+  copiesAfterMs: readonly number[] = [];
   /** Number of direct calls with a start that were sent. */
   startsSent = 0;
+  /** Number of direct calls, copies excluded, that the worker refused. */
+  callsRefused = 0;
+  /** Number of copies of direct calls that reached the worker. */
+  copiesDelivered = 0;
   /** Until then the worker's reports are lost. */
   private reportsDroppedUntil = 0;
   /** Until then answers to direct calls are lost. */
@@ -140,11 +148,17 @@
     });
   }
 
-  /** Starts a waiting task of the job submitted last, if there is one. */
-  start(): void {
+  /** Starts waiting tasks of the job submitted last, if there are any. */
+  start(count = 1): void {
     const job = this.state.jobs.get(this.job);
-    const next = job && !job.withdrawn ? waitingTasks(job, 1)[0] : undefined;
-    if (next) this.appendDecision({ e: 'start', job: this.job, p: [[next[0], next[1], this.machine]] });
+    const waiting = job && !job.withdrawn ? waitingTasks(job, count) : [];
+    if (waiting.length === 0) return;
+    const starts = waiting.map(([task, attempt]): [number, number, MachineId] => [
+      task,
+      attempt,
+      this.machine,
+    ]);
+    this.appendDecision({ e: 'start', job: this.job, p: starts });
   }
 
   /** Stops the tasks of the job submitted last, as for a preemption. */
@@ -170,6 +184,17 @@
       if (task.standing === 'running') this.worker.exit(task, 'done', true);
   }
 
+  /** Ends all tasks that run on the worker with an error. */
+  failTasks(): void {
+    for (const task of this.worker.tasks.values())
+      if (task.standing === 'running') this.worker.exit(task, 'error', true);
+  }
+
+  /** From now on copies of each direct call reach the worker so long after it was carried out. */
+  copyCalls(afterMs: readonly number[]): void {
+    this.copiesAfterMs = afterMs;
+  }
+
   /** Replaces the leader by one with the next term. */
   changeLeader(): void {
     this.leader.stop();
@@ -298,28 +323,39 @@
         const fate = this.fateOf(body as DirectBody);
         this.time.after(timeoutMs, () => resolve(null));
         if (fate.garbled) this.time.after(NETWORK_DELAY_MS, () => resolve({ status: 200, body: undefined }));
-        this.time.after(fate.deliveredAfterMs, () => this.deliver(path, body, fate.answered, resolve));
+        this.time.after(fate.deliveredAfterMs, () => this.deliver(path, body, fate, resolve));
       });
   }
 
   private fateOf(body: DirectBody): CallFate {
-    if (!body.orders.some((order) => order.verb === 'launch')) return PROMPT_CALL;
+    const prompt = { ...PROMPT_CALL, copiesAfterMs: this.copiesAfterMs };
+    if (!body.orders.some((order) => order.verb === 'launch')) return prompt;
     this.startsSent++;
-    return this.fates.shift() ?? PROMPT_CALL;
+    return this.fates.shift() ?? prompt;
   }
 
   private deliver(
     path: string,
     body: unknown,
-    answered: boolean,
+    fate: CallFate,
     resolve: (answer: HttpResponse | null) => void,
   ): void {
     if (this.hungUntil > this.time.now)
       return void this.time.after(this.hungUntil - this.time.now, () =>
-        this.deliver(path, body, answered, resolve),
+        this.deliver(path, body, fate, resolve),
       );
     const answer = this.worker.handle(path, JSON.parse(JSON.stringify(body)));
-    if (!answered || this.time.now < this.callAnswersDroppedUntil) return;
+    if (answer?.status === 409) this.callsRefused++;
+    for (const ms of fate.copiesAfterMs ?? []) this.time.after(ms, () => this.deliverCopy(path, body));
+    if (!fate.answered || this.time.now < this.callAnswersDroppedUntil) return;
     this.time.after(NETWORK_DELAY_MS, () => resolve(JSON.parse(JSON.stringify(answer)) as HttpResponse));
   }
+
+  /** Delivers a copy of a call, or once the machine resumes. Nobody waits for the answer. */
+  private deliverCopy(path: string, body: unknown): void {
+    if (this.hungUntil > this.time.now)
+      return void this.time.after(this.hungUntil - this.time.now, () => this.deliverCopy(path, body));
+    this.copiesDelivered++;
+    this.worker.handle(path, JSON.parse(JSON.stringify(body)));
+  }
 }
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -4,7 +4,7 @@
 import { Controller } from '../../src/actors/controller.js';
 import { defaultPolicy } from '../../src/core/policy.js';
 import type { ClusterState } from '../../src/core/state.js';
-import type { LogEntry, JobId, MachineType, Term, WallMs } from '../../src/core/types.js';
+import type { LogEntry, JobId, JobSpec, MachineType, Term, WallMs } from '../../src/core/types.js';
 import type { Logger } from '../../src/io/logger.js';
 import type { PeerResponse, PeerRequest, Peers, PeerStatus } from '../../src/io/peers.js';
 import { CloudClient } from '../../src/wire/cloud.js';
@@ -321,7 +321,7 @@
     const node = this.nodes[index]!;
     if (node.clock.dead) return { status: 0 };
     const controller = node.controller;
-    let spec;
+    let spec: JobSpec | undefined;
     if (job) {
       const parsed = readJob(job);
       if ('error' in parsed) return { status: 400 };
@@ -333,6 +333,7 @@
       standing: (response.body as { standing?: string }).standing,
       retryAfter: response.retryAfter,
     }));
+    void answered.then(() => this.repeatRequest(kind, id, spec, node));
     const timedOut = new Promise<{ status: number; standing?: string; retryAfter?: number }>((resolve) =>
       this.time.after(5000, () => resolve({ status: 0 })),
     );
@@ -342,6 +343,22 @@
     return answer;
   }
 
+  /** When copies of a user's request that was answered reach its node again, in milliseconds. */
+  userCopyDelaysMs: (kind: 'submit' | 'show' | 'withdraw') => readonly number[] = () => [];
+
+  /** Delivers the late copies of a user's request; nobody waits for their answers. */
+  private repeatRequest(
+    kind: 'submit' | 'show' | 'withdraw',
+    id: string,
+    spec: JobSpec | undefined,
+    node: SimulatedNode,
+  ): void {
+    for (const ms of this.userCopyDelaysMs(kind))
+      this.time.after(ms, () => {
+        if (!node.clock.dead) void node.controller.requests.answer({ kind, job: id as JobId, spec });
+      });
+  }
+
   /**
    * A user who submits a job until it is accepted, then polls or, after `cancelAfterMs`, cancels until it is
    * over.
--- a/test/late-requests.test.ts
+++ b/test/late-requests.test.ts
@@ -46,6 +46,23 @@
   });
 });
 
+describe('a copy of a rental', () => {
+  it('that was refused at first and is granted later: its machines are used or returned', async () => {
+    const world = new World(265, [box]);
+    setCapacity(world, 0);
+    await world.started();
+    world.network.copyDelaysMs = (_address, path) => (path === '/hosts' ? [25_000, 70_000] : []);
+    world.user(world.job({ shifts: 12, reckon_s: 20 }));
+    await world.time.run(15_000);
+    expect(world.cloud.machines.size).toBe(0);
+    setCapacity(world, 3);
+    await expectAllOver(world, 300);
+    expect(world.network.copiesDelivered.get('/hosts')).toBeGreaterThan(2);
+    await world.time.run(200_000);
+    expect(world.cloud.machines.size).toBe(0);
+  });
+});
+
 describe('a return that is carried out late', () => {
   it('after its retry was answered removes no machine that is in use', async () => {
     const world = await startWorld(262);
--- a/test/stored-data.test.ts
+++ b/test/stored-data.test.ts
@@ -86,6 +86,7 @@
       [
         ...['directCalls.sent', 'directCalls.answered', 'directCalls.givenUp', 'directCalls.open'],
         ...['unsettledCalls', 'unsettledCancellations', 'fencesRaised', 'rejectedEntries'],
+        ...['directCalls.refused', 'answeredStarts', 'fencesRaisedToForget'],
         ...['renewals.sent', 'renewals.timely', 'renewals.late', 'renewals.refused', 'renewals.unanswered'],
         ...['renewals.uncertainMs'],
       ].sort(),
--- a/test/worker-commands.test.ts
+++ b/test/worker-commands.test.ts
@@ -104,6 +104,27 @@
     ).toEqual([{ op: 'forget', ...first }]);
   });
 
+  // Guards against ran_twice and ran_cancelled: a copy of an answered call starts a forgotten attempt again.
+  it('tell it to forget an attempt only above the fence of the answered call that started it', () => {
+    const exited = [0, 1].map((task) => ({ task, state: 'exited' as const, cause: 'done' as const }));
+    const state = stateAfter([started, ended]);
+    const calls = unsettledCalls([3, 5]);
+    calls.answered(1 as CallNumber);
+    calls.answered(2 as CallNumber);
+    expect(calls).toMatchObject({ unansweredCount: 0, answeredStartCount: 1 });
+    const forgetsFirst = { op: 'forget', ...first };
+    const guarded = commandsForWorker(state, observed(exited, { unsettledCalls: calls }), true);
+    expect(guarded.commands[0]).toEqual(forgetsFirst);
+    expect(guarded).toMatchObject({ forgetAboveFence: 5, fenceToExceed: null });
+    calls.fenceReported(5 as Fence);
+    expect(calls.answeredStartCount).toBe(1);
+    calls.fenceReported(6 as Fence);
+    expect(calls.answeredStartCount).toBe(0);
+    const settled = commandsForWorker(state, observed(exited, { unsettledCalls: calls }), true);
+    expect(settled.commands[0]).toEqual(forgetsFirst);
+    expect(settled.forgetAboveFence).toBeUndefined();
+  });
+
   it('include no start after the job was cancelled; one that may still arrive is fenced off', () => {
     const calls = unsettledCalls([0]);
     const state = stateAfter([started, withdrawn]);
