Log why each start, stop and forget leaves

Cause: the incident's records show calls as workers saw them; the leader's own lines for a call or an answer had its fence and commands, not the reason why a command was due, so an attempt could not be followed from its log alone.

Change: `direct call sent` and `report answered` (debug) have `why`, a reason for each command: logged and not reported, the stop's reason in the log, an unsettled cancellation, not live in the log.

--- a/src/actors/direct-calls.ts
+++ b/src/actors/direct-calls.ts
@@ -22,6 +22,8 @@
   session: Session;
   fence: Fence;
   commands: Command[];
+  /** Why each command is sent. */
+  why: string[];
 }
 
 export interface DirectCallsOptions {
--- a/src/actors/workers.ts
+++ b/src/actors/workers.ts
@@ -11,6 +11,7 @@
   type UnsettledCancellations,
   type WorkerCommands,
 } from '../core/worker-commands.js';
+import { reasonFor } from '../core/command-reasons.js';
 import { HIGHEST_FENCE_FOR_STARTS } from '../core/fences.js';
 import { isAvailable, type Job, type TaskAttempt, type Machine } from '../core/model.js';
 import type { ClusterState } from '../core/state.js';
@@ -168,11 +169,23 @@
     const { machine, session, seq } = view.report;
     const unsettled = view.unsettledCalls.unansweredCount;
     this.options.logger.debug(
-      { machine, session, seq, fence: view.fence, unsettled, orders: commands },
+      {
+        machine,
+        session,
+        seq,
+        fence: view.fence,
+        unsettled,
+        orders: commands,
+        why: this.reasonsFor(commands),
+      },
       'report answered',
     );
   }
 
+  private reasonsFor(commands: readonly Command[]): string[] {
+    return commands.map((command) => reasonFor(this.state, command, this.unsettledCancellations));
+  }
+
   /** The commands that a worker is due. May raise its fence and record starts that were not delivered. */
   private commandsFor(view: WorkerView): Pick<WorkerCommands, 'commands' | 'forgetAboveFence'> {
     const { commands, undeliveredStarts, fenceToExceed, forgetAboveFence } = commandsForWorker(
@@ -221,7 +234,8 @@
     const fence = view?.fence ?? (0 as Fence);
     const session = view?.report.session ?? machine.session;
     this.machinesInCall.add(machine.id);
-    const call = { machine: machine.id, address: machine.addr, session, fence, commands };
+    const why = this.reasonsFor(commands);
+    const call = { machine: machine.id, address: machine.addr, session, fence, commands, why };
     const number = this.directCalls.send(call, (response) => {
       // Removed whatever became of the session; otherwise the worker would never be called again.
       this.machinesInCall.delete(machine.id);
@@ -262,7 +276,8 @@
       const view = this.intake.views.get(id);
       if (!isAvailable(machine) || !address || view?.hasSeenTerm || this.machinesInCall.has(id)) continue;
       if (!this.termAnnouncements.scheduleIfDue(id)) continue;
-      const call = { machine: id, address, session, fence: view?.fence ?? (0 as Fence), commands: [] };
+      const fence = view?.fence ?? (0 as Fence);
+      const call = { machine: id, address, session, fence, commands: [], why: ['term announced'] };
       this.directCalls.send(call, (response) => void this.takeResponse(machine, response));
     }
   }
