Go on above a fence that a worker has seen and this leader has not given

Cause: a worker drops every answer under a lower token than it has seen.

Change: a report of the own term with a higher fence is logged as a warning and its fence adopted.

--- a/src/actors/report-intake.ts
+++ b/src/actors/report-intake.ts
@@ -6,6 +6,7 @@
 import type { ClusterState } from '../core/state.js';
 import type { MachineId, Term, WorkerReport } from '../core/types.js';
 import type { Clock } from '../io/clock.js';
+import type { Logger } from '../io/logger.js';
 import type { StallMonitor } from './stall-monitor.js';
 import type { PendingFacts } from './pending-facts.js';
 import type { TaskProgress } from './task-progress.js';
@@ -26,6 +27,7 @@
   stallMonitor: StallMonitor;
   progress: TaskProgress;
   pendingFacts: PendingFacts;
+  logger: Logger;
   term: Term;
   reportPeriodS: number;
   /** Called when a worker has seen a higher term than this leader's. */
@@ -137,6 +139,7 @@
     if (report.term === this.options.term) {
       view.hasSeenTerm = true;
       view.unsettledCalls.fenceReported(report.fence);
+      this.adoptHigherFence(view);
     }
     if (!isUnsolicited) return;
     // A worker sends its next report only after it has processed the answer to the last one or given up
@@ -144,6 +147,15 @@
     for (const [key, seq] of startedInAnswer) if (seq < report.seq) startedInAnswer.delete(key);
   }
 
+  /** A worker drops everything under a lower fence than it has seen, wherever that one came from. */
+  private adoptHigherFence(view: WorkerView): void {
+    const { machine, fence } = view.report;
+    if (fence > view.fence) {
+      this.options.logger.warn({ machine, fence, expected: view.fence }, 'a worker has seen a higher fence');
+      view.fence = fence;
+    }
+  }
+
   /**
    * The view of a worker whose report repeats the last one, provided that the last one needed no commands and
    * nothing has changed since; null otherwise.
--- a/test/late-copies.test.ts
+++ b/test/late-copies.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest';
+import { FENCES_PER_TERM, HIGHEST_FENCE_FOR_STARTS } from '../src/core/fences.js';
 import { OneWorker, type CallFate } from './fakes/one-worker.js';
 import {
   cancelUntilConfirmed,
@@ -183,6 +184,23 @@
     expect([...fixture.worker.tasks.values()].map((task) => task.standing)).toEqual(['running']);
     expect(fixture.violations).toEqual([]);
   });
+
+  it('sends starts only in answers to reports once the fences of the term are used up', async () => {
+    const fixture = await OneWorker.withRunningJob();
+    fixture.worker.highestFence += HIGHEST_FENCE_FOR_STARTS;
+    await fixture.time.run(5000);
+    fixture.copyCalls([2000, 20_000]);
+    for (const directStarts of [1, 1]) {
+      fixture.start();
+      await fixture.time.run(5000);
+      expect(fixture.startsSent).toBe(directStarts);
+      expect([...fixture.worker.tasks.values()].map((task) => task.standing)).toEqual(['running']);
+      fixture.completeTasks();
+      await fixture.time.run(5000);
+    }
+    expect(fixture.worker.highestFence).toBe(2 * FENCES_PER_TERM - 1);
+    await expectNoRestart(fixture);
+  });
 });
 
 describe('calls that no leader has sent', () => {
@@ -215,6 +233,14 @@
     await fixture.time.run(5000);
     expect(attempts(fixture)).toEqual([[0, 1, 'running']]);
   });
+
+  it('with a higher fence of the same term: the leader adopts it and goes on', async () => {
+    const { fixture, send } = await running();
+    expect(send(fixture.worker.highestFence + 7, 1)).toBe(200);
+    await fixture.time.run(30_000);
+    expect(attempts(fixture)).toEqual([[0, 1, 'running']]);
+    expect(fixture.worker.session).toBe(1);
+  });
 });
 
 /** When copies of each direct call arrive: soon, and on both sides of what the tests do to its tasks. */
