Keep one fence a worker of its answered calls, in place of their attempts

Change: a worker that is told to forget anything gets a fence above the highest of its answered calls with starts, whichever attempts these started. That is one number a worker, and never weaker: more is fenced than before. The gauge is now `workersWithAnsweredStarts`.

--- a/src/actors/report-intake.ts
+++ b/src/actors/report-intake.ts
@@ -193,10 +193,10 @@
     return count;
   }
 
-  /** Number of attempts that copies of answered calls could start, had their workers forgotten them. */
-  countAnsweredStarts(): number {
+  /** Number of workers that copies of answered calls could make start what they have forgotten. */
+  countWorkersWithAnsweredStarts(): number {
     let count = 0;
-    for (const view of this.views.values()) count += view.unsettledCalls.answeredStartCount;
+    for (const view of this.views.values()) if (view.unsettledCalls.answeredFence !== null) count++;
     return count;
   }
 }
--- a/src/actors/worker-messages.ts
+++ b/src/actors/worker-messages.ts
@@ -47,8 +47,8 @@
   directCalls: { sent: number; answered: number; refused: number; givenUp: number; open: number };
   /** Calls with starts that may still be carried out: open ones, and given up ones that are not yet void. */
   unsettledCalls: number;
-  /** Attempts that copies of answered calls could start again, had their workers forgotten them. */
-  answeredStarts: number;
+  /** Workers that copies of answered calls could make start again what they have forgotten. */
+  workersWithAnsweredStarts: number;
   /** Fences raised to invalidate calls without an answer. */
   fencesRaised: number;
   /** Fences raised so that workers forget attempts which answered calls had started. */
--- a/src/actors/workers.ts
+++ b/src/actors/workers.ts
@@ -109,7 +109,7 @@
     return {
       directCalls: { ...this.directCalls.totals, open: this.directCalls.currentlyOpen },
       unsettledCalls: this.intake.countUnsettledCalls(),
-      answeredStarts: this.intake.countAnsweredStarts(),
+      workersWithAnsweredStarts: this.intake.countWorkersWithAnsweredStarts(),
       fencesRaised: this.fences.totals.raisedForUnanswered,
       fencesRaisedToForget: this.fences.totals.raisedToForget,
       unsettledCancellations: this.unsettledCancellations.size,
--- a/src/core/unsettled-calls.ts
+++ b/src/core/unsettled-calls.ts
@@ -24,18 +24,19 @@
 
 export class UnsettledCalls {
   private readonly unanswered = new Map<CallNumber, StartCall>();
-  /** Attempts of answered calls, with the highest fence of these calls. */
-  private readonly answeredStarts = new Map<AttemptKey, Fence>();
-  private reportedFence = 0 as Fence;
+  private highestAnsweredFence: Fence | null = null;
 
   /** Number of calls without an answer that the worker may still carry out. */
   get unansweredCount(): number {
     return this.unanswered.size;
   }
 
-  /** Number of attempts that a copy of an answered call would start, had the worker forgotten them. */
-  get answeredStartCount(): number {
-    return this.answeredStarts.size;
+  /**
+   * The highest fence of the answered calls of which copies may still be carried out; null when there is none.
+   * A worker that forgets an attempt has to see a higher one.
+   */
+  get answeredFence(): Fence | null {
+    return this.highestAnsweredFence;
   }
 
   sent(call: StartCall): void {
@@ -47,18 +48,14 @@
     const call = this.unanswered.get(number);
     if (!call) return;
     this.unanswered.delete(number);
-    if (call.fence < this.reportedFence) return;
-    for (const attempt of call.attempts)
-      if (call.fence >= (this.answeredStarts.get(attempt) ?? 0)) this.answeredStarts.set(attempt, call.fence);
+    this.highestAnsweredFence = Math.max(this.highestAnsweredFence ?? 0, call.fence) as Fence;
   }
 
   /** A report shows this fence: calls under lower ones were carried out before it, or never will be. */
   fenceReported(fence: Fence): void {
     for (const call of this.unanswered.values()) if (call.fence < fence) this.unanswered.delete(call.number);
-    if (fence <= this.reportedFence) return;
-    this.reportedFence = fence;
-    for (const [attempt, highest] of this.answeredStarts)
-      if (highest < fence) this.answeredStarts.delete(attempt);
+    if (this.highestAnsweredFence !== null && this.highestAnsweredFence < fence)
+      this.highestAnsweredFence = null;
   }
 
   /** The highest fence of the unanswered calls that may start an attempt; null when there is no such call. */
@@ -68,9 +65,4 @@
       if (attempts.has(attempt) && (highest === null || fence > highest)) highest = fence;
     return highest;
   }
-
-  /** The highest fence of the answered calls whose copies may start an attempt; null when there is none. */
-  highestAnsweredFenceOf(attempt: AttemptKey): Fence | null {
-    return this.answeredStarts.get(attempt) ?? null;
-  }
 }
--- a/src/core/worker-commands.ts
+++ b/src/core/worker-commands.ts
@@ -75,7 +75,7 @@
   undeliveredStarts: TaskAttempt[];
   /** The highest fence of calls that must not start anything any more: the worker's must become higher. */
   fenceToExceed: Fence | null;
-  /** The highest fence of answered calls that started attempts to be forgotten; undefined if there are none. */
+  /** If there are attempts to forget: the fence that the worker must have exceeded then, if there is one. */
   forgetAboveFence?: Fence;
 }
 
@@ -140,14 +140,12 @@
   { job, task, attempt }: TaskReport,
   isLive: boolean,
 ): void {
-  const key = attemptKey(job, task, attempt);
-  const fence = worker.unsettledCalls.highestFenceOf(key);
+  const { unsettledCalls } = worker;
+  const fence = unsettledCalls.highestFenceOf(attemptKey(job, task, attempt));
   if (fence !== null) return raiseFenceAbove(due, fence);
   if (isLive) return;
   due.commands.push({ op: 'forget', job, task, attempt });
-  const answeredFence = worker.unsettledCalls.highestAnsweredFenceOf(key);
-  if (answeredFence !== null)
-    due.forgetAboveFence = Math.max(due.forgetAboveFence ?? 0, answeredFence) as Fence;
+  due.forgetAboveFence = unsettledCalls.answeredFence ?? undefined;
 }
 
 /** Stops a reported task as the log says; at once if the log does not know the attempt. */
--- a/test/late-copies.test.ts
+++ b/test/late-copies.test.ts
@@ -166,8 +166,8 @@
     await fixture.time.run(TWO_REPORTS_MS);
     expect(fixture.startsSent).toBe(40);
     expect(fixture.callsRefused).toBe(0);
-    const { answeredStarts, fencesRaisedToForget } = fixture.statistics();
-    expect(answeredStarts).toBe(0);
+    const { workersWithAnsweredStarts, fencesRaisedToForget } = fixture.statistics();
+    expect(workersWithAnsweredStarts).toBe(0);
     expect(fencesRaisedToForget).toBe(40);
   });
 
--- a/test/stored-data.test.ts
+++ b/test/stored-data.test.ts
@@ -86,7 +86,7 @@
       [
         ...['directCalls.sent', 'directCalls.answered', 'directCalls.givenUp', 'directCalls.open'],
         ...['unsettledCalls', 'unsettledCancellations', 'fencesRaised', 'rejectedEntries'],
-        ...['directCalls.refused', 'answeredStarts', 'fencesRaisedToForget'],
+        ...['directCalls.refused', 'workersWithAnsweredStarts', 'fencesRaisedToForget'],
         ...['renewals.sent', 'renewals.timely', 'renewals.late', 'renewals.refused', 'renewals.unanswered'],
         ...['renewals.uncertainMs'],
       ].sort(),
--- a/test/worker-commands.test.ts
+++ b/test/worker-commands.test.ts
@@ -111,15 +111,15 @@
     const calls = unsettledCalls([3, 5]);
     calls.answered(1 as CallNumber);
     calls.answered(2 as CallNumber);
-    expect(calls).toMatchObject({ unansweredCount: 0, answeredStartCount: 1 });
+    expect(calls).toMatchObject({ unansweredCount: 0, answeredFence: 5 });
     const forgetsFirst = { op: 'forget', ...first };
     const guarded = commandsForWorker(state, observed(exited, { unsettledCalls: calls }), true);
     expect(guarded.commands[0]).toEqual(forgetsFirst);
     expect(guarded).toMatchObject({ forgetAboveFence: 5, fenceToExceed: null });
     calls.fenceReported(5 as Fence);
-    expect(calls.answeredStartCount).toBe(1);
+    expect(calls.answeredFence).toBe(5);
     calls.fenceReported(6 as Fence);
-    expect(calls.answeredStartCount).toBe(0);
+    expect(calls.answeredFence).toBeNull();
     const settled = commandsForWorker(state, observed(exited, { unsettledCalls: calls }), true);
     expect(settled.commands[0]).toEqual(forgetsFirst);
     expect(settled.forgetAboveFence).toBeUndefined();
