One definition each of offers, the largest request and the interval of ticks

Cause: the key of a type, zone and kind of machine stood in three modules (offerId twice, placeKey), the largest request body and the interval of a leader's ticks in two each; the late-tick check of StallMonitor has to follow the leader's interval. Change: src/core/offers.ts, MAX_BODY_BYTES in http-message.ts, TICK_INTERVAL_MS in stall-monitor.ts. No change of behaviour.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -13,7 +13,7 @@
   'src/actors/{pending-facts,reach-claims,report-intake,round-planner,snapshot,snapshotter,stall-monitor}.ts',
   'src/actors/{state-service-monitor,task-progress,term-announcements,token-bucket,uncertain-answers}.ts',
   'src/actors/{user-requests,worker-fences,worker-reachability,worker-view,workers}.ts',
-  'src/core/{candidates,chunked,claims,fit,model,orderly-stops,placement,resources,state-dump,types}.ts',
+  'src/core/{candidates,chunked,claims,fit,model,offers,orderly-stops,placement,resources,state-dump,types}.ts',
   'src/core/{command-reasons,fences,split-entry,unsettled-calls,waiting-tasks,worker-commands,zones}.ts',
   'tools/**/*.ts',
 ];
--- a/src/actors/cloud.ts
+++ b/src/actors/cloud.ts
@@ -1,6 +1,7 @@
 /** The actor that uses the cloud's API on behalf of the leader. */
 import { chunked } from '../core/chunked.js';
 import type { Machine } from '../core/model.js';
+import { offerKey } from '../core/offers.js';
 import type { ClusterState } from '../core/state.js';
 import type { MachineId, MachineType, SteadyMs } from '../core/types.js';
 import type { Clock } from '../io/clock.js';
@@ -31,9 +32,6 @@
   /** Returns these machines without a record: a cancelled task runs there and cannot be stopped otherwise. */
   | { kind: 'returnWithoutRecord'; machines: Machine[] };
 
-/** Key of a combination of machine type, zone and kind (spot or on demand). */
-const placeKey = (type: string, zone: string, spot: boolean): string => `${type}|${zone}|${spot}`;
-
 /** Rents, returns and lists machines within the cloud's rate limit. */
 export class CloudActor extends Actor<CloudMessage> {
   private readonly rentalsInFlight = new Set<string>();
@@ -64,7 +62,7 @@
 
   /** Whether the cloud recently had fewer machines of a type, zone and kind than requested. */
   isBackedOff(type: string, zone: string, spot: boolean): boolean {
-    const backoff = this.backoffs.get(placeKey(type, zone, spot));
+    const backoff = this.backoffs.get(offerKey({ type, zone, spot }));
     return backoff !== undefined && backoff.until > this.clock.steady();
   }
 
@@ -123,7 +121,7 @@
           return this.pauseRequests();
         }
         const machines = result.outcome === 'hired' ? result.machines : [];
-        const key = placeKey(rental.type, rental.zone, rental.spot);
+        const key = offerKey(rental);
         if (machines.length < rental.n) {
           const backoffMs = Math.min(
             MAX_BACKOFF_MS,
--- a/src/actors/leader.ts
+++ b/src/actors/leader.ts
@@ -25,6 +25,7 @@
 import { RoundPlanner, type RoundPlan } from './round-planner.js';
 import type { Compress, VersionedSnapshotHead } from './snapshot.js';
 import { Snapshotter } from './snapshotter.js';
+import { TICK_INTERVAL_MS } from './stall-monitor.js';
 import type { WorkerStatistics } from './worker-messages.js';
 import { WorkersActor } from './workers.js';
 
@@ -68,9 +69,7 @@
   rejectedEntries: number;
 };
 
-/** Interval of ticks, and the longest delay of a round that an event triggers. */
-const TICK_INTERVAL_MS = 1000;
-/** Shortest delay between an event and the round that it triggers. */
+/** Shortest delay between an event and the round that it triggers; the longest is the interval of ticks. */
 const MIN_EVENT_ROUND_DELAY_MS = 200;
 /** Spacing of rounds after events, as a multiple of the last round's duration; at most a tick interval. */
 const EVENT_ROUND_SPACING = 5;
--- a/src/actors/stall-monitor.ts
+++ b/src/actors/stall-monitor.ts
@@ -3,8 +3,9 @@
 import type { Clock } from '../io/clock.js';
 import type { Logger } from '../io/logger.js';
 
-/** Interval of ticks, and the delay beyond which a tick shows that the node is behind with its work. */
-const TICK_INTERVAL_MS = 1000;
+/** Interval of a leader's ticks. */
+export const TICK_INTERVAL_MS = 1000;
+/** A tick that is later than this shows that the node is behind with its work. */
 const LATE_TICK_MS = 500;
 /** The node counts as behind for this long after a late tick. */
 const BEHIND_MS = 2000;
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -2,6 +2,7 @@
 import { chunked } from './chunked.js';
 import { fitsType, soleFitTypes } from './fit.js';
 import { avoidsMachine, type Machine, type TaskAttempt } from './model.js';
+import { offerKey } from './offers.js';
 import type { PlacementResult } from './placement.js';
 import type { Policy } from './policy.js';
 import { addTo, fits, type Resources } from './resources.js';
@@ -65,8 +66,8 @@
     private readonly now: WallMs,
   ) {
     for (const machine of state.machines.values()) {
-      const boots = this.boots.get(offerId(machine)) ?? { slowest: 0, oldest: now };
-      this.boots.set(offerId(machine), boots);
+      const boots = this.boots.get(offerKey(machine)) ?? { slowest: 0, oldest: now };
+      this.boots.set(offerKey(machine), boots);
       if (machine.session === 0) boots.oldest = Math.min(boots.oldest, machine.hiredAt) as WallMs;
       else if (now - machine.upAt < RECENT_BOOT_MS)
         boots.slowest = Math.max(boots.slowest, machine.upAt - machine.hiredAt);
@@ -79,7 +80,7 @@
 
   /** Whether a booting machine still counts as capacity for waiting tasks. */
   isAwaited(machine: Machine): boolean {
-    const { slowest, oldest } = this.boots.get(offerId(machine))!;
+    const { slowest, oldest } = this.boots.get(offerKey(machine))!;
     const bootMs = this.nominalMs(machine);
     // Prevents rentals in a loop: where no machine comes up, late machines are replaced only once.
     const retry =
@@ -89,7 +90,7 @@
 
   /** Whether a machine boots for too long. Slow boots get more time, or all may be returned too early. */
   neverCameUp(machine: Machine): boolean {
-    const { slowest } = this.boots.get(offerId(machine))!;
+    const { slowest } = this.boots.get(offerKey(machine))!;
     const bootMs = this.nominalMs(machine);
     const timeoutMs = Math.max(
       60_000,
@@ -99,8 +100,6 @@
   }
 }
 
-const offerId = (m: { type: string; zone: string; spot: boolean }): string => `${m.type}|${m.zone}|${m.spot}`;
-
 /** Plans rentals for unplaced tasks, beyond what booting machines and tasks about to end will provide. */
 export function planRentals(input: CapacityInput): LogEntry[] {
   const { state, now, unplaced } = input;
@@ -239,7 +238,7 @@
     const machineCount = Math.ceil(left / perMachine);
     const added = addBins(best.type, best.zone, best.spot, true, machineCount);
     packInto(added, spec, left);
-    const key = `${best.type.name}|${best.zone}|${best.spot}`;
+    const key = offerKey({ type: best.type.name, zone: best.zone, spot: best.spot });
     const rental = rented.get(key) ?? { bin: added, machineCount: 0 };
     rental.machineCount += machineCount;
     rented.set(key, rental);
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -4,6 +4,7 @@
 import { allocate, type Allocation, type Random } from './allocation.js';
 import { fitsType, soleFitTypes } from './fit.js';
 import { avoidsMachine, type Job, type Machine, type TaskAttempt } from './model.js';
+import { offerKey } from './offers.js';
 import { reserve } from './reserve.js';
 import { addTo, fits, sumOf, type Resources } from './resources.js';
 import { constraintKey, delaysGangFetch, hasImage, isMultiTaskGang, slotCount } from './candidates.js';
@@ -65,7 +66,6 @@
 
 export const place = (input: PlacementInput): PlacementResult => new PlacementRound(input).run();
 
-const offerId = (type: string, zone: string, spot: boolean): string => `${type}|${zone}|${spot}`;
 const countTasks = (allocations: readonly Allocation[]): number =>
   allocations.reduce((sum, allocation) => sum + allocation.taskCount, 0);
 
@@ -94,7 +94,7 @@
     this.releasing = this.candidates.filter((candidate) => candidate.releasing.cpus > RESOURCE_EPSILON);
     this.teamUsage = new Map([...input.state.teamUsage].map(([team, usage]) => [team, { ...usage }]));
     for (const { machine } of this.candidates) {
-      const offer = offerId(machine.type, machine.zone, machine.spot);
+      const offer = offerKey(machine);
       this.machineCountByOffer.set(offer, (this.machineCountByOffer.get(offer) ?? 0) + 1);
     }
   }
@@ -247,10 +247,10 @@
     for (const type of this.input.state.machineTypes.values()) {
       if (!fitsType(job.spec, type) || !type.zones.includes(zone)) continue;
       for (const spot of [true, false]) {
-        if (!meetsConstraints(job, { type: type.name, zone, spot })) continue;
+        const offer = { type: type.name, zone, spot };
+        if (!meetsConstraints(job, offer)) continue;
         if (this.input.canRent(type.name, zone, spot)) return Infinity;
-        tasks +=
-          slotCount(type, job.spec) * (this.machineCountByOffer.get(offerId(type.name, zone, spot)) ?? 0);
+        tasks += slotCount(type, job.spec) * (this.machineCountByOffer.get(offerKey(offer)) ?? 0);
       }
     }
     return tasks;
--- a/src/io/http-message.ts
+++ b/src/io/http-message.ts
@@ -6,6 +6,8 @@
 
 const HEAD_END = '\r\n\r\n';
 const MAX_HEAD_BYTES = 16 * 1024;
+/** Largest body of a request, by the protocol. */
+export const MAX_BODY_BYTES = 64 * 1024;
 
 /** The received bytes are not a valid HTTP message, so the connection can't be used any more. */
 export class MalformedMessageError extends Error {}
--- a/src/io/server.ts
+++ b/src/io/server.ts
@@ -4,6 +4,7 @@
 import net from 'node:net';
 import type { Controller } from '../actors/controller.js';
 import { jobNotFound, type Reply } from '../actors/admission.js';
+import { MAX_BODY_BYTES } from './http-message.js';
 import type { Measure } from './metrics.js';
 import type { Logger } from './logger.js';
 import type { JobId } from '../core/types.js';
@@ -75,7 +76,6 @@
 }
 
 const JOB_PATH_PREFIX = '/v1/jobs/';
-const MAX_BODY_BYTES = 64 * 1024;
 
 /**
  * Creates the server of all HTTP requests to a node. Reports are read by WorkerConnection; other requests go
--- a/src/io/worker-connection.ts
+++ b/src/io/worker-connection.ts
@@ -3,10 +3,9 @@
  * directly from the socket; any other request is left to Node's HTTP server.
  */
 import type net from 'node:net';
-import { encodingOf, parseHead, writeResponse, type MessageHead } from './http-message.js';
+import { MAX_BODY_BYTES, encodingOf, parseHead, writeResponse, type MessageHead } from './http-message.js';
 
 const REPORT_START = 'POST /hello ';
-const MAX_BODY_BYTES = 64 * 1024;
 const IDLE_MS = 120_000;
 const EMPTY = Buffer.alloc(0);
 
