Return no machine after a standstill before it is heard who leads

Cause: an action on stale knowledge. On waking the tick fires before anything that came meanwhile is read; without a certain lock it returns the machines of overdue cancelled tasks without a record, and `isOverdue` skipped the wait for first reports from `cancel_s` less 12 s on.

Change: from that moment on, all controllers must rule another leader out, or a controller or worker must have taken this node for the leader since the standstill; else the wait for first reports holds (4.3 to 5.5 s).

Evidence: 12 of the 25 cases of standstill.test.ts failed before, each with the former leader's POST /hosts/return; no other act was seen. While the state service is down for all, cancelled tasks still end within `cancel_s`, whether other controllers are heard or not (8 cases).

Once, beside three soaks and a build, "a large job of low priority starts within four minutes" met vitest's limit of 5 s of real time. Trace: it takes 2.5 to 2.9 s of processor time alone, the same on the sources before; the tests' network parsed each body once more for copies, which it no longer does.

--- a/src/actors/overdue-cancellations.ts
+++ b/src/actors/overdue-cancellations.ts
@@ -60,8 +60,9 @@
     const ageS = (clock.wall() - since) / 1000;
     if (ageS <= limits.lease_s) return false;
     const isLastMoment = ageS > limits.cancel_s - MACHINE_RETURN_S;
-    if (isCancelled(attempt)) return workers.isReconciled() || isLastMoment;
-    return this.mayReturnWhileUnsettled(isLastMoment);
+    return isCancelled(attempt)
+      ? this.mayReturnWhenLogged(isLastMoment)
+      : this.mayReturnWhileUnsettled(isLastMoment);
   }
 
   /** The machines with an overdue task. */
@@ -87,8 +88,23 @@
    * at the last moment, some controller or worker must still take this node for the leader.
    */
   private mayReturnWhileUnsettled(isLastMoment: boolean): boolean {
-    const { isSoleLeader, isStillFollowed, workers } = this.options;
-    if (isSoleLeader()) return true;
-    return isLastMoment && (isStillFollowed() || workers.intake.countHeard(WORKER_HEARD_MAX_AGE_MS) > 0);
+    return this.options.isSoleLeader() || (isLastMoment && this.isTakenForLeader());
+  }
+
+  /**
+   * Whether a machine may be returned for a logged cancellation. After a stall of this process another leader
+   * may use the machine, so the workers must have reported since, or had time to; at the last moment it is
+   * enough that some controller or worker takes this node for the leader.
+   */
+  private mayReturnWhenLogged(isLastMoment: boolean): boolean {
+    const { isSoleLeader, workers } = this.options;
+    return workers.isReconciled() || (isLastMoment && (isSoleLeader() || this.isTakenForLeader()));
+  }
+
+  /** Whether, since the last stall, some controller or worker has taken this node for the leader. */
+  private isTakenForLeader(): boolean {
+    const { isStillFollowed, workers } = this.options;
+    const maxAgeMs = Math.min(WORKER_HEARD_MAX_AGE_MS, workers.sinceStallMs);
+    return isStillFollowed() || workers.intake.countHeard(maxAgeMs) > 0;
   }
 }
--- a/src/actors/workers.ts
+++ b/src/actors/workers.ts
@@ -95,6 +95,12 @@
     return this.options.log.unsettledCancellations;
   }
 
+  /** Milliseconds since the take-over or the end of the last stall of this node. */
+  get sinceStallMs(): number {
+    this.stallMonitor.noteActivity();
+    return this.options.clock.steady() - this.stallMonitor.observingSince;
+  }
+
   /** Number of running tasks of a job. */
   countRunningTasks(job: Job): number {
     return this.progress.countRunning(job);
--- a/test/fakes/network.ts
+++ b/test/fakes/network.ts
@@ -41,13 +41,13 @@
    * Additional delay of a request. The caller's timeout runs from the sending, so a long delay leaves no
    * answer.
    */
-  requestDelayMs: (address: string, body: unknown, path: string) => number = () => 0;
+  requestDelayMs: (address: string, body: unknown, path: string, from: string) => number = () => 0;
 
   /**
    * When copies of a request that was carried out and answered reach its receiver again, in milliseconds
    * after the answer. Nobody waits for the answers to the copies.
    */
-  copyDelaysMs: (address: string, path: string, body: unknown) => readonly number[] = () => [];
+  copyDelaysMs: (address: string, path: string) => readonly number[] = () => [];
   /** Number of copies that were carried out, by path. */
   readonly copiesDelivered = new Map<string, number>();
 
@@ -128,14 +128,13 @@
 
   /** Delivers the late copies of a request that was just answered. */
   private deliverCopies(from: string, address: string, method: string, path: string, text?: string): void {
-    const parse = (): unknown => (text === undefined ? undefined : JSON.parse(text));
-    for (const ms of this.copyDelaysMs(address, path, parse()))
+    for (const ms of this.copyDelaysMs(address, path))
       this.time.after(ms, () =>
         this.whenResumed(address, () => {
           const handler = this.handlers.get(address);
           if (!handler || this.cutBetween(from, address) || !this.receives(address)) return;
           this.copiesDelivered.set(path, (this.copiesDelivered.get(path) ?? 0) + 1);
-          void handler(method, path, parse());
+          void handler(method, path, text === undefined ? undefined : JSON.parse(text));
         }),
       );
   }
@@ -200,7 +199,7 @@
             },
           );
         };
-        this.time.after(this.delay() + this.requestDelayMs(address, body, path), arrive);
+        this.time.after(this.delay() + this.requestDelayMs(address, body, path, from), arrive);
       });
   }
 }
