Let a job run again on machines on which it failed half a minute ago

Cause: a preference without an end. `avoidsMachine` kept the job off each machine on which one of its tasks had failed; errorMachines is never cleared.

Change: it lapses 30 s after the pause that follows the last failure. The pause is in the records (notBefore), so each leader decides alike, and stored data stay.

--- a/src/actors/round-planner.ts
+++ b/src/actors/round-planner.ts
@@ -100,7 +100,7 @@
       (attempt) => workers.progress.isWaitingForGang(attempt),
     );
     const placed = this.placeTasks(claims, usable, now);
-    const preempted = this.preemptTasks(claims, usable, placed);
+    const preempted = this.preemptTasks(claims, usable, placed, now);
     const input = this.capacityInput(usable, placed, preempted.unplaced, now);
     return {
       entries: [
@@ -161,6 +161,7 @@
     claims: ReturnType<typeof orderClaims>,
     usable: Machine[],
     { unplaced, freeResources, releasingResources }: PlacementResult,
+    now: WallMs,
   ): PreemptionResult {
     return preempt({
       ...{
@@ -168,6 +169,7 @@
         state: this.options.state,
         teams: this.teams,
         usable,
+        now,
         unplaced,
         freeResources,
         releasingResources,
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -178,7 +178,7 @@
     const restartCritical = isRestartCritical(job, now, input.completionObjectiveS(spec.class));
     const isEligible = (bin: Bin): boolean =>
       bin.count > 0 &&
-      (bin.id === null || (canWait && !avoidsMachine(job, bin.id))) &&
+      (bin.id === null || (canWait && !avoidsMachine(job, bin.id, now))) &&
       fits(bin, spec) &&
       meetsConstraints(job, { type: bin.type.name, zone: bin.zone, spot: bin.spot });
     const rentsSpot = spec.spot && input.policy.rentSpot(spec);
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -97,6 +97,17 @@
 /** After failures on this many machines the job is taken to be the cause. */
 const JOB_FAULT_MACHINES = 3;
 
-/** Whether a job's tasks are kept off a machine: one failed there, and they don't fail wherever they run. */
-export const avoidsMachine = (job: Job, machine: MachineId): boolean =>
-  job.errorMachines.size < JOB_FAULT_MACHINES && job.errorMachines.has(machine);
+/**
+ * How long after a failure, and the pause that follows it, a job's tasks are kept off the machines on which
+ * they failed: time enough to rent another one.
+ */
+const AVOIDANCE_MS = 30_000;
+
+/**
+ * Whether a job's tasks are kept off a machine for now: one failed there lately, and they don't fail wherever
+ * they run.
+ */
+export const avoidsMachine = (job: Job, machine: MachineId, now: WallMs): boolean =>
+  job.errorMachines.size < JOB_FAULT_MACHINES &&
+  job.errorMachines.has(machine) &&
+  now < job.notBefore + AVOIDANCE_MS;
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -152,8 +152,8 @@
     return spec.gang && startable < spec.tasks ? 0 : startable;
   }
 
-  private isEligible(job: Job, candidate: Candidate): boolean {
-    return meetsConstraints(job, candidate.machine) && !avoidsMachine(job, candidate.machine.id);
+  private isEligible(job: Job, { machine }: Candidate): boolean {
+    return meetsConstraints(job, machine) && !avoidsMachine(job, machine.id, this.input.now);
   }
 
   private feasibleCandidates(job: Job): Candidate[] {
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -7,8 +7,7 @@
 import { fitsType } from './fit.js';
 import { avoidsMachine, type Job, type Machine, type TaskAttempt } from './model.js';
 import type { ClusterState } from './state.js';
-import type { LogEntry, Team } from './types.js';
-import { RESOURCE_EPSILON, priorityRank } from './types.js';
+import { RESOURCE_EPSILON, priorityRank, type LogEntry, type Team, type WallMs } from './types.js';
 
 export interface PreemptionInput {
   state: ClusterState;
@@ -16,6 +15,7 @@
   claims: readonly Claim[];
   teams: readonly Team[];
   usable: Machine[];
+  now: WallMs;
   unplaced: PlacementResult['unplaced'];
   /** What this round's own starts leave free on a machine. */
   freeResources: PlacementResult['freeResources'];
@@ -147,7 +147,7 @@
         (capacity) =>
           types.has(capacity.machine.type) &&
           meetsConstraints(job, capacity.machine) &&
-          !avoidsMachine(job, capacity.machine.id) &&
+          !avoidsMachine(job, capacity.machine.id, input.now) &&
           (zone === null || capacity.machine.zone === zone),
       )
       .flatMap((capacity) => planFor(capacity) ?? [])
--- a/test/preemption.test.ts
+++ b/test/preemption.test.ts
@@ -62,6 +62,7 @@
     const preempted = preempt({
       claims: order,
       state,
+      now: now as WallMs,
       teams,
       usable,
       unplaced: placed.unplaced,
