--- a/test/fakes/commands-property.ts
+++ b/test/fakes/commands-property.ts
@@ -71,8 +71,8 @@
 
 /**
  * Random sequences of decisions and failures, with random delays, lost answers and late copies of the direct
- * calls to one worker. No attempt may start after its end is recorded, and none whose end is recorded may remain on the
- * worker.
+ * calls to one worker. No attempt may start after its end is recorded, and none whose end is recorded may
+ * remain on the worker.
  */
 export const commandsProperty = (): fc.IAsyncProperty<[Step[], CallFate[]]> =>
   fc.asyncProperty(
--- a/test/fakes/one-worker.ts
+++ b/test/fakes/one-worker.ts
@@ -323,7 +323,9 @@
         const fate = this.fateOf(body as DirectBody);
         this.time.after(timeoutMs, () => resolve(null));
         if (fate.garbled) this.time.after(NETWORK_DELAY_MS, () => resolve({ status: 200, body: undefined }));
-        this.time.after(fate.deliveredAfterMs, () => this.deliver(path, body, fate, resolve));
+        this.time.after(fate.deliveredAfterMs, () =>
+          this.whenResumed(() => this.deliver(path, body, fate, resolve)),
+        );
       });
   }
 
@@ -340,21 +342,23 @@
     fate: CallFate,
     resolve: (answer: HttpResponse | null) => void,
   ): void {
-    if (this.hungUntil > this.time.now)
-      return void this.time.after(this.hungUntil - this.time.now, () =>
-        this.deliver(path, body, fate, resolve),
-      );
     const answer = this.worker.handle(path, JSON.parse(JSON.stringify(body)));
     if (answer?.status === 409) this.callsRefused++;
-    for (const ms of fate.copiesAfterMs ?? []) this.time.after(ms, () => this.deliverCopy(path, body));
+    for (const ms of fate.copiesAfterMs ?? [])
+      this.time.after(ms, () => this.whenResumed(() => this.deliverCopy(path, body)));
     if (!fate.answered || this.time.now < this.callAnswersDroppedUntil) return;
     this.time.after(NETWORK_DELAY_MS, () => resolve(JSON.parse(JSON.stringify(answer)) as HttpResponse));
   }
 
-  /** Delivers a copy of a call, or once the machine resumes. Nobody waits for the answer. */
-  private deliverCopy(path: string, body: unknown): void {
+  /** Runs at once, or when the machine resumes. */
+  private whenResumed(run: () => void): void {
     if (this.hungUntil > this.time.now)
-      return void this.time.after(this.hungUntil - this.time.now, () => this.deliverCopy(path, body));
+      this.time.after(this.hungUntil - this.time.now, () => this.whenResumed(run));
+    else run();
+  }
+
+  /** Delivers a copy of a call; nobody waits for the answer. */
+  private deliverCopy(path: string, body: unknown): void {
     this.copiesDelivered++;
     this.worker.handle(path, JSON.parse(JSON.stringify(body)));
   }
--- a/test/fakes/scenarios.ts
+++ b/test/fakes/scenarios.ts
@@ -99,6 +99,12 @@
   return delayed;
 }
 
+/** Machines that hold tasks of a job. */
+export const machinesOf = (w: World, job: JobOnWire): string[] =>
+  [...w.workers].flatMap(([id, worker]) =>
+    [...worker.tasks.values()].some((task) => task.job === job) ? [id] : [],
+  );
+
 /** Submits three long jobs that a test cancels, and one that it lets run. */
 export const submitWork = (w: World): { doomed: JobOnWire[]; kept: JobOnWire } => {
   const doomed = [0, 1, 2].map(() => w.job({ shifts: 6, reckon_s: 400, kit: 'img-0' }));
--- a/test/standstill.test.ts
+++ b/test/standstill.test.ts
@@ -1,10 +1,12 @@
 import { describe, expect, it } from 'vitest';
 import type { JobOnWire } from './fakes/checker.js';
 import {
+  CANCEL_MS,
   cancelUntilConfirmed,
   cutPeers,
   expectAllAnswered,
   expectAllOver,
+  machinesOf,
   startWorld,
 } from './fakes/scenarios.js';
 import type { World } from './fakes/world.js';
@@ -15,7 +17,6 @@
 const HANG_MS = 13_000;
 /** From the cancellations to the standstill: a report of the machines would show that their tasks are gone. */
 const STANDSTILL_AFTER_MS = 11_000;
-const CANCEL_S = 45;
 
 interface Standstill {
   world: World;
@@ -25,13 +26,6 @@
   machines: string[];
 }
 
-const machinesOf = (world: World, jobs: JobOnWire[]): string[] =>
-  [...world.workers.values()]
-    .filter((worker) =>
-      [...worker.tasks.values()].some((task) => jobs.some(({ name_id }) => name_id === task.job.name_id)),
-    )
-    .map((worker) => worker.place.id);
-
 /** Jobs are cancelled whose machines hang, and the leader stands still. */
 async function standStill(seed: number, hangMs: number, standstillMs: number): Promise<Standstill> {
   const world = await startWorld(seed);
@@ -39,7 +33,7 @@
   for (const job of cancelled) world.user(job);
   await world.time.run(28_000);
   const former = world.leader();
-  const machines = machinesOf(world, cancelled);
+  const machines = cancelled.flatMap((job) => machinesOf(world, job));
   expect(machines.length).toBe(3);
   for (const machine of machines) world.hang(machine, hangMs);
   for (const job of cancelled) await cancelUntilConfirmed(world, job.name_id, () => former);
@@ -119,7 +113,7 @@
           const { world, former, machines } = await standStill(seed, 200_000, standstillS * 1000);
           world.state.outage(120_000);
           cut(world, former);
-          await world.time.run(CANCEL_S * 1000 - STANDSTILL_AFTER_MS);
+          await world.time.run(CANCEL_MS - STANDSTILL_AFTER_MS);
           expect(machines.filter((machine) => world.workers.has(machine))).toEqual([]);
           expect(world.checker.violations).toEqual([]);
           await world.time.run(100_000);
--- a/test/unsettled-cancellations.test.ts
+++ b/test/unsettled-cancellations.test.ts
@@ -5,6 +5,7 @@
   cutPeers,
   expectAllAnswered,
   expectAllOver,
+  machinesOf,
   refuseStateRequests,
   resolved,
   startWorld,
@@ -46,11 +47,6 @@
   throw new Error(`no follower said that ${id} is cancelled`);
 };
 
-const machinesOf = (world: World, job: JobOnWire): string[] =>
-  [...world.workers].flatMap(([id, worker]) =>
-    [...worker.tasks.values()].some((task) => task.job === job) ? [id] : [],
-  );
-
 /** Runs until a confirmed cancellation must have been carried out, and checks the rules. */
 const expectCancelledInTime = async (world: World): Promise<void> => {
   await world.time.run(CANCEL_MS + 10);
