--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -31,13 +31,20 @@
   return match[1].split(' ');
 }
 
-const freePort = () =>
-  new Promise((done) => {
-    const server = net.createServer().listen(0, '127.0.0.1', () => {
-      const { port } = server.address();
-      server.close(() => done(port));
+/** A free port below those that the system gives to outgoing connections, which could take it before a controller does. */
+async function freePort() {
+  for (;;) {
+    const port = 10_000 + Math.floor(Math.random() * 20_000);
+    const server = net.createServer();
+    const isFree = await new Promise((done) => {
+      server.once('error', () => done(false));
+      server.listen(port, '127.0.0.1', () => done(true));
     });
-  });
+    if (!isFree) continue;
+    await new Promise((done) => server.close(done));
+    return port;
+  }
+}
 
 const listen = (handle) =>
   new Promise((done) => {
