--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -373,6 +373,19 @@
   zones: ['caernarfon', 'wrexham'],
 };
 
+export const shire = {
+  name: 'shire',
+  cpus: 32,
+  gpus: 0,
+  mem: 128,
+  cacheGb: 40,
+  fetch: 0.8,
+  price: 1.83,
+  spotPrice: 0.83,
+  boot: 40,
+  zones: ['caernarfon', 'wrexham'],
+};
+
 export const gwyneddTeams = [
   { name: 'depot-ops', cpus: 256, cpus_max: 960, gpus: 0, gpus_max: 0 },
   { name: 'pricing-desk', cpus: 160, cpus_max: 384, gpus: 0, gpus_max: 0 },
