--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -88,8 +88,9 @@
   /** What each user was told: the newest standing by job, and when that answer arrived. */
   told = new Map();
 
-  constructor({ types, teams, cluster = {}, recordFile, logLevel = 'error' }) {
-    Object.assign(this, { types, recordFile, logLevel });
+  /** `taskLines`: the jobs whose tasks get lines of the record; null: all. */
+  constructor({ types, teams, cluster = {}, recordFile, logLevel = 'error', taskLines = null }) {
+    Object.assign(this, { types, recordFile, logLevel, taskLines });
     this.clusterSettings = {
       zones: ['caernarfon', 'wrexham'],
       size: 3,
@@ -226,10 +227,15 @@
   /** May be replaced: what a worker does with a direct call; `go` carries it out. */
   onOrders = (_machine, _path, _body, go) => go();
 
+  /** May be replaced: what a worker takes as the answer to its report; null: none. */
+  onReportAnswered = (_machine, _report, answer) => answer;
+
   #bootWorker(place) {
     const slot = this.#workerSlots.shift();
     if (!slot) throw new Error('no more workers');
-    const call = createHttpCall();
+    const send = createHttpCall();
+    const call = async (address, method, path, body, timeoutMs) =>
+      this.onReportAnswered(place, body, await send(address, method, path, body, timeoutMs));
     const worker = new FakeWorker({ ...place }, `127.0.0.1:${slot.port}`, call, {
       time: this.time,
       random: Math.random,
@@ -253,11 +259,11 @@
     return {
       job: (id) => checker.job(id),
       start: (id, task, machine) => {
-        this.note(`task ${id}/${task} starts on ${machine.id} (${machine.zone})`);
+        if (!this.taskLines || this.taskLines.includes(id)) this.note(`task ${id}/${task} starts on ${machine.id} (${machine.zone})`);
         checker.start(id, task, machine);
       },
       end: (id, task, machine, done) => {
-        this.note(`task ${id}/${task} ${done ? 'is done' : 'ends'} on ${machine.id} (${machine.zone})`);
+        if (!this.taskLines || this.taskLines.includes(id)) this.note(`task ${id}/${task} ${done ? 'is done' : 'ends'} on ${machine.id} (${machine.zone})`);
         checker.end(id, task, machine, done);
       },
     };
