--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -375,7 +375,7 @@
         child.kill('SIGCONT');
         child.kill('SIGKILL');
       }
-    await this.#run;
+    await this.#run?.catch(() => {});
     for (const link of this.#allLinks) link.close();
     for (const server of this.#servers) {
       server.close();
@@ -450,10 +450,14 @@
 /** Runs a case: exit code 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. */
 export async function runCase(deployment, play) {
   let code = 2;
-  const limit = setTimeout(() => {
-    deployment.note('the case took too long');
+  const giveUp = (why) => {
+    deployment.note(`the case couldn't run: ${why}`);
     void deployment.end().finally(() => process.exit(2));
-  }, 118_000);
+  };
+  const limit = setTimeout(() => giveUp('it took too long'), 118_000);
+  for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.once(signal, () => giveUp(signal));
+  process.once('uncaughtException', (error) => giveUp(error.stack));
+  process.once('unhandledRejection', (error) => giveUp(error?.stack ?? error));
   try {
     await deployment.start();
     const broken = await play(deployment);
@@ -463,7 +467,8 @@
     deployment.note(`the case couldn't run: ${error.stack}`);
   }
   clearTimeout(limit);
+  const result = deployment.record.at(-1);
   await deployment.end();
-  console.log(deployment.record.at(-1));
+  console.log(result);
   process.exit(code);
 }
