--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -367,14 +367,21 @@
     throw new Error(`${job.name_id} was not accepted`);
   }
 
+  #ended(child) {
+    if (child.exitCode !== null || child.signalCode !== null) return undefined;
+    return new Promise((done) => child.once('exit', done));
+  }
+
   /** Ends all processes, writes the record and removes the temporary folder. */
   async end() {
     this.#stopped = true;
-    for (const child of this.processes)
-      if (child) {
-        child.kill('SIGCONT');
-        child.kill('SIGKILL');
-      }
+    const running = this.processes.filter(Boolean);
+    for (const child of running) {
+      child.kill('SIGCONT');
+      child.kill('SIGKILL');
+    }
+    // The case is over only when they have ended.
+    await Promise.all(running.map((child) => this.#ended(child)));
     await this.#run?.catch(() => {});
     for (const link of this.#allLinks) link.close();
     for (const server of this.#servers) {
