--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,40 +1,67 @@
 /**
- * Case 7: a user sends a gang of two tasks that sets both `together` (all tasks in the same zone) and `spread` (at
- * most one of the two in one zone). It can never run. Is it refused?
+ * Case 7: a gang that sets `spread` has a machine in one zone and its second machine is booting in the other. The
+ * first machine stops with all that is on it. Does the accepted job run?
  */
 import { Deployment, gwyneddTeams, jobOf, pony, runCase, sleep } from '../lib-2/deployment.mjs';
 
 const TROUBLE = process.env.TROUBLE !== '0';
-const WATCH_MS = 60_000;
-const ODD = 'wk-000002';
+/** more/hunt/LATER.md: no job is left waiting for 90 s while a machine that fits has room. */
+const MAX_WAIT_MS = 90_000;
+const GANG = 'wk-000002';
 
-const deployment = new Deployment({ types: [pony], teams: gwyneddTeams, recordFile: 'review/7/record.txt' });
+const deployment = new Deployment({
+  types: [pony],
+  teams: gwyneddTeams,
+  recordFile: 'review/7/record.txt',
+});
 
 await runCase(deployment, async (d) => {
-  d.cloud.bootTimeFactor = () => 0.2;
-  await d.submit(jobOf('wk-000001', { yard: 'wrexham', reckon_s: 75 }));
-  await d.submit(jobOf('wk-000003', { yard: 'caernarfon', reckon_s: 75 }));
-  await d.until(
-    () => d.checker.startCountOf('wk-000001') > 0 && d.checker.startCountOf('wk-000003') > 0,
-    30_000,
-    'a machine of each zone runs a task',
+  // The first machines are up soon ("at times machines are up within a second or two"), the others in their usual time.
+  d.cloud.bootTimeFactor = (n) => (n < 2 ? 0.1 : 1);
+  // kit/sites/gwynedd-fleet.toml: eight ponies and two spot ones in each of the two zones.
+  for (const zone of pony.zones) {
+    d.cloud.capacity.set(`pony|${zone}|false`, 8);
+    d.cloud.capacity.set(`pony|${zone}|true`, 2);
+  }
+  // A short job of one task keeps a machine of wrexham up, as the day's other work does.
+  await d.submit(jobOf('wk-000001', { yard: 'wrexham', reckon_s: 1 }));
+  await d.until(async () => (await d.ask(1, 'show', 'wk-000001')).standing === 'done', 30_000, 'the first job is done');
+  await d.submit(
+    jobOf(GANG, { duty: 'fleet-rebalance', desk: 'pricing-desk', shape: 'ensemble', urgency: 'high', shifts: 2, cpus: 8, mem_gb: 20, spread: true, reckon_s: 10 }),
   );
-  if (!TROUBLE) {
-    const gang = jobOf(ODD, { duty: 'fleet-rebalance', desk: 'pricing-desk', shape: 'ensemble', urgency: 'high', shifts: 2, together: true, reckon_s: 5 });
-    await d.submit(gang);
-    await d.until(async () => (await d.ask(1, 'show', ODD, undefined, 2000)).standing === 'done', 60_000, 'the gang is done');
-    return d.checker.violations.join('; ');
+  if (TROUBLE) {
+    for (const machine of [...d.cloud.machines.values()])
+      if (machine.zone === 'wrexham') {
+        d.note(`TROUBLE: ${machine.id} (wrexham) stops with all that is on it`);
+        d.cloud.failMachine(machine.id, 'failed');
+      }
   }
-  const odd = jobOf(ODD, { duty: 'fleet-rebalance', desk: 'pricing-desk', shape: 'ensemble', urgency: 'high', shifts: 2, together: true, spread: true, reckon_s: 5 });
-  d.checker.submitted(odd);
-  const { status } = await d.ask(0, 'submit', ODD, odd);
-  if (status === 400 || status === 422) return '';
-  if (status !== 201 && status !== 200) throw new Error(`the submission was answered ${status}`);
-  // Accepted. Whether it runs all the same is watched for a while, with room in both zones.
-  for (const end = performance.now() + WATCH_MS; performance.now() < end; await sleep(5000)) {
-    const answer = await d.ask(1, 'show', ODD, undefined, 2000);
-    d.note(`user: ${ODD} is ${answer.standing}; machines: ${[...d.workers.values()].map((w) => `${w.place.id} in ${w.place.zone}, ${w.freeResources.cpus} CPUs free`).join('; ')}`);
-    if (d.checker.startCountOf(ODD) > 0) return '';
+  const fitting = () =>
+    [...d.workers.values()].filter((worker) => worker.freeResources.cpus >= 8 && worker.freeResources.mem >= 20).length;
+  /** Whether a task of the gang is on a machine. */
+  const isOnMachine = () =>
+    [...d.workers.values()].some((worker) =>
+      [...worker.tasks.values()].some((task) => task.job.name_id === GANG && task.standing !== 'ended'),
+    );
+  /** Since when the gang has waited without a break while a machine that fits a task has room. */
+  let waitingSince = null;
+  const lastAsked = { at: 0 };
+  for (;;) {
+    if (performance.now() - lastAsked.at > 5000) {
+      lastAsked.at = performance.now();
+      const answer = await d.ask(1, 'show', GANG, undefined, 2000);
+      d.note(`user: ${GANG} is ${answer.standing}; machines with room for a task of it: ${fitting()}`);
+      if (answer.standing === 'done') return d.checker.violations.join('; ');
+    }
+    if (isOnMachine() || fitting() === 0) waitingSince = null;
+    else waitingSince ??= performance.now();
+    if (waitingSince !== null && performance.now() - waitingSince > MAX_WAIT_MS) {
+      const free = [...d.workers.values()].map((w) => `${w.place.id} in ${w.place.zone}`).join(', ');
+      return (
+        `An accepted job must run: no task of ${GANG} was on a machine for ${MAX_WAIT_MS / 1000} s after the trouble, with idle ` +
+        `machines all the time (now: ${free}); wrexham has room for eight`
+      );
+    }
+    await sleep(100);
   }
-  return `job accepted though it can't run: ${ODD}, a gang of two with together and spread, was answered ${status}; no task started in ${WATCH_MS / 1000} s`;
 });
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,43 +1,40 @@
 /**
- * Case 8: a user sends a gang of 2,600 tasks that the team's limit and the cloud's machines have room for. Does it run? With
- * TROUBLE=0 it has 2,400 tasks.
+ * Case 8: a user sends a gang of two tasks that sets both `together` (all tasks in the same zone) and `spread` (at
+ * most one of the two in one zone). It can never run. Is it refused?
  */
 import { Deployment, gwyneddTeams, jobOf, pony, runCase, sleep } from '../lib-2/deployment.mjs';
 
 const TROUBLE = process.env.TROUBLE !== '0';
-/** more/hunt/LATER.md: no job is left waiting for 90 s while a machine that fits has room. */
-const MAX_WAIT_MS = 90_000;
-const GANG = 'wk-000002';
-const TASKS = TROUBLE ? 2600 : 2400;
+const WATCH_MS = 60_000;
+const ODD = 'wk-000002';
 
-const deployment = new Deployment({ types: [pony], teams: gwyneddTeams, recordFile: 'review/8/record.txt', taskLines: ['wk-000001'] });
+const deployment = new Deployment({ types: [pony], teams: gwyneddTeams, recordFile: 'review/8/record.txt' });
 
 await runCase(deployment, async (d) => {
-  // "At times machines are up within a second or two."
-  d.cloud.bootTimeFactor = () => 0.05;
-  // kit/sites/gwynedd-fleet.toml: in each zone eight ponies and two spot ones, 20 in all; the gang needs 17.
-  for (const zone of pony.zones) {
-    d.cloud.capacity.set(`pony|${zone}|false`, 8);
-    d.cloud.capacity.set(`pony|${zone}|true`, 2);
-  }
-  // A task of another team keeps one machine up, with room for 110 tasks of the gang.
-  await d.submit(jobOf('wk-000001', { desk: 'depot-ops', cpus: 5, reckon_s: 110, urgency: 'production' }));
-  await d.until(() => d.checker.startCountOf('wk-000001') > 0, 30_000, 'the first job starts');
-  await d.submit(
-    jobOf(GANG, { desk: 'pricing-desk', shape: 'ensemble', urgency: 'high', shifts: TASKS, cpus: 0.1, mem_gb: 0.2, image_gb: 0.1, kit: 'img-2', reckon_s: 5, loaners: true }),
+  d.cloud.bootTimeFactor = () => 0.2;
+  await d.submit(jobOf('wk-000001', { yard: 'wrexham', reckon_s: 75 }));
+  await d.submit(jobOf('wk-000003', { yard: 'caernarfon', reckon_s: 75 }));
+  await d.until(
+    () => d.checker.startCountOf('wk-000001') > 0 && d.checker.startCountOf('wk-000003') > 0,
+    30_000,
+    'a machine of each zone runs a task',
   );
-  let waitingSince = null;
-  for (let askedAt = -Infinity; ; await sleep(100)) {
-    const fitting = [...d.workers.values()].filter(({ freeResources: free }) => free.cpus >= 0.1 && free.mem >= 0.2);
-    if (d.seconds() - askedAt > 5) {
-      askedAt = d.seconds();
-      const answer = await d.ask(1, 'show', GANG, undefined, 2000);
-      d.note(`user: ${GANG}: ${JSON.stringify(answer.body)}; started tasks: ${d.checker.startCountOf(GANG)}; machines with room: ${fitting.length}`);
-      if (answer.standing === 'done') return d.checker.violations.join('; ');
-    }
-    if (d.checker.startCountOf(GANG) > 0 || fitting.length === 0) waitingSince = null;
-    else waitingSince ??= performance.now();
-    if (waitingSince !== null && performance.now() - waitingSince > MAX_WAIT_MS)
-      return `an accepted job must run: ${GANG}, ${TASKS} tasks of 0.1 CPUs, has waited for ${MAX_WAIT_MS / 1000} s; no task was started and no machine rented for it`;
+  if (!TROUBLE) {
+    const gang = jobOf(ODD, { duty: 'fleet-rebalance', desk: 'pricing-desk', shape: 'ensemble', urgency: 'high', shifts: 2, together: true, reckon_s: 5 });
+    await d.submit(gang);
+    await d.until(async () => (await d.ask(1, 'show', ODD, undefined, 2000)).standing === 'done', 60_000, 'the gang is done');
+    return d.checker.violations.join('; ');
+  }
+  const odd = jobOf(ODD, { duty: 'fleet-rebalance', desk: 'pricing-desk', shape: 'ensemble', urgency: 'high', shifts: 2, together: true, spread: true, reckon_s: 5 });
+  d.checker.submitted(odd);
+  const { status } = await d.ask(0, 'submit', ODD, odd);
+  if (status === 400 || status === 422) return '';
+  if (status !== 201 && status !== 200) throw new Error(`the submission was answered ${status}`);
+  // Accepted. Whether it runs all the same is watched for a while, with room in both zones.
+  for (const end = performance.now() + WATCH_MS; performance.now() < end; await sleep(5000)) {
+    const answer = await d.ask(1, 'show', ODD, undefined, 2000);
+    d.note(`user: ${ODD} is ${answer.standing}; machines: ${[...d.workers.values()].map((w) => `${w.place.id} in ${w.place.zone}, ${w.freeResources.cpus} CPUs free`).join('; ')}`);
+    if (d.checker.startCountOf(ODD) > 0) return '';
   }
+  return `job accepted though it can't run: ${ODD}, a gang of two with together and spread, was answered ${status}; no task started in ${WATCH_MS / 1000} s`;
 });
--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -176,6 +176,7 @@
       this.nodeFiles[node] = file;
     }
     this.#run = this.#advance();
+    await this.beforeStart();
     for (const node of NODES) this.startNode(node);
     await this.until(() => this.leader !== null, 20_000, 'a controller leads');
   }
@@ -227,6 +228,19 @@
   /** May be replaced: what a worker does with a direct call; `go` carries it out. */
   onOrders = (_machine, _path, _body, go) => go();
 
+  #hungUntil = new Map();
+  /** Hangs a machine: it runs nothing, and what reaches it meanwhile is handled when it resumes. */
+  hang(id, ms) {
+    this.#hungUntil.set(id, performance.now() + ms);
+    this.workers.get(id).hang(ms);
+    this.note(`TROUBLE: ${id} hangs for ${ms / 1000} s`);
+  }
+
+  async #resumed(id) {
+    const ms = (this.#hungUntil.get(id) ?? 0) - performance.now();
+    if (ms > 0) await sleep(ms);
+  }
+
   /** May be replaced: what a worker takes as the answer to its report; null: none. */
   onReportAnswered = (_machine, _report, answer) => answer;
 
@@ -234,8 +248,12 @@
     const slot = this.#workerSlots.shift();
     if (!slot) throw new Error('no more workers');
     const send = createHttpCall();
-    const call = async (address, method, path, body, timeoutMs) =>
-      this.onReportAnswered(place, body, await send(address, method, path, body, timeoutMs));
+    const call = async (address, method, path, body, timeoutMs) => {
+      const sentAt = performance.now();
+      const answer = this.onReportAnswered(place, body, await send(address, method, path, body, timeoutMs));
+      await this.#resumed(place.id);
+      return performance.now() - sentAt > timeoutMs ? null : answer;
+    };
     const worker = new FakeWorker({ ...place }, `127.0.0.1:${slot.port}`, call, {
       time: this.time,
       random: Math.random,
@@ -247,7 +265,10 @@
       workers: this.workers,
       settings: this.clusterSettings.workers,
     });
-    slot.handle = (path, body) => this.onOrders(place, path, body, () => worker.handle(path, body));
+    slot.handle = async (path, body) => {
+      await this.#resumed(place.id);
+      return this.onOrders(place, path, body, () => worker.handle(path, body));
+    };
     this.workers.set(place.id, worker);
     this.note(`cloud: ${place.id} is up (${place.type}, ${place.zone}${place.spot ? ', spot' : ''})`);
     return worker;
@@ -285,6 +306,9 @@
     this.processes[node] = child;
     this.note(`controller ${node} started`);
   }
+  /** May be replaced: runs when the stand-ins serve and before the controllers are started. */
+  beforeStart = async () => {};
+
   /** May be replaced: takes what a controller logs. */
   onLog = () => {};
 
