Ask one definition of a job's zones in placement, reservation, preemption and rental

Cause: each part of a round had its own idea of where the tasks of a job may be. Placement obeyed `spread`. Reservation held nothing for such a gang. Preemption took two places on one machine for both of its tasks, so that nothing was rented beside work of lower priority. Rental counted booting machines of one zone for all tasks and rented the rest from the one cheapest offer, which is always the first zone among equal prices. A one-zone array had the same fault: rentals did not look at the zone in which its tasks ran.

Change: `constraints` defines types, zones, kinds and amounts of a job once, and a zone allowance that one job carries through a round: each part takes from it what it gives places to. A gang is reserved, drained and rented for only while all of its tasks could stand at once (machines that are up, boot or may be rented); before, machines were held in zones that could never complete the gang.

Checker: a gang counts as waiting beside room if its tasks fit the free places together, divided as it asks. Before, it demanded as many machines as tasks in one zone: too weak for gangs whose tasks share machines or zones, and wrong for `spread`, which forbids just that division.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -13,8 +13,10 @@
   'src/actors/{pending-facts,reach-claims,report-intake,round-planner,snapshot,snapshotter,stall-monitor}.ts',
   'src/actors/{state-service-monitor,task-progress,term-announcements,token-bucket,uncertain-answers}.ts',
   'src/actors/{user-requests,worker-fences,worker-reachability,worker-view,workers}.ts',
-  'src/core/{candidates,chunked,claims,fit,model,offers,orderly-stops,placement,resources,state-dump,types}.ts',
-  'src/core/{command-reasons,fences,split-entry,unsettled-calls,waiting-tasks,worker-commands,zones}.ts',
+  'src/core/{boot-timeouts,candidates,capacity-bins,chunked,claims,constraints,fit,model,offers}.ts',
+  'src/core/{orderly-stops,placement,preemption,rentals,reserve,resources,returns,state-dump,types}.ts',
+  'src/core/{command-reasons,fences,split-entry,unsettled-calls,waiting-tasks,worker-commands}.ts',
+  'src/core/{zone-capacities,zones}.ts',
   'tools/**/*.ts',
 ];
 
--- a/src/actors/round-planner.ts
+++ b/src/actors/round-planner.ts
@@ -2,13 +2,15 @@
  * One scheduling round: decides which tasks to stop and start and which machines to rent and return, from
  * committed state and the workers' reports. It only plans; the leader writes the entries.
  */
-import { planRentals, planReturns, type CapacityInput } from '../core/capacity.js';
 import { stopsForNotices, stopsForBrokenGangs } from '../core/orderly-stops.js';
 import { orderClaims } from '../core/claims.js';
 import type { Random } from '../core/allocation.js';
-import { place, type PlacementResult } from '../core/placement.js';
+import type { Offer } from '../core/offers.js';
+import { place, type PlacementResult, type Unplaced } from '../core/placement.js';
 import type { Policy } from '../core/policy.js';
 import { preempt, type PreemptionResult } from '../core/preemption.js';
+import { planRentals } from '../core/rentals.js';
+import { planReturns } from '../core/returns.js';
 import { isAvailable, type Job, type TaskAttempt, type Machine } from '../core/model.js';
 import type { ClusterState } from '../core/state.js';
 import { priorityRank, type LogEntry, type Team, type WallMs } from '../core/types.js';
@@ -57,9 +59,9 @@
   starts: number;
   usable: number;
   /** Tasks that did not fit on any machine. */
-  unplaced: PlacementResult['unplaced'];
+  unplaced: Unplaced[];
   /** Tasks that do not fit even where other tasks are being stopped. */
-  unplacedAfterPreemption: PlacementResult['unplaced'];
+  unplacedAfterPreemption: Unplaced[];
 }
 
 const hasNeverStarted = (job: Job): boolean => job.fresh === 0 && job.live.size === 0 && job.gangTry === 1;
@@ -101,15 +103,14 @@
     );
     const placed = this.placeTasks(claims, usable, now);
     const preempted = this.preemptTasks(claims, usable, placed, now);
-    const input = this.capacityInput(usable, placed, preempted.unplaced, now);
     return {
       entries: [
         ...noticeStops,
         ...gangStops,
         ...placed.entries,
         ...preempted.entries,
-        ...planRentals(input),
-        ...planReturns(input),
+        ...this.planRentals(usable, placed, preempted.unplaced, now),
+        ...this.planReturns(placed, now),
       ],
       starts: placed.starts,
       usable: usable.length,
@@ -143,14 +144,14 @@
     usable: Machine[],
     now: WallMs,
   ): PlacementResult {
-    const { cloud, random, state, workers } = this.options;
+    const { policy, random, state, workers } = this.options;
     const placed = place({
       ...{ claims, state, teams: this.teams, now, random, usable },
       sampleSize: SAMPLE_SIZE,
       completionObjectiveS: (name) => this.tightestObjectiveS.get(name) ?? 0,
       isFetching: (attempt) => workers.progress.isFetching(attempt),
       reserved: this.reserved,
-      canRent: (type, zone, spot) => !cloud.isBackedOff(type, zone, spot),
+      canRent: (spec, offer) => this.isRentable(offer) && (!offer.spot || policy.rentSpot(spec)),
       maxStarts: MAX_STARTS,
     });
     this.reserved = placed.reserved;
@@ -179,28 +180,38 @@
     });
   }
 
-  private capacityInput(
+  /** Whether machines of the offer are requested now; not for a while after the cloud had too few. */
+  private isRentable({ type, zone, spot }: Offer): boolean {
+    const { cloud, settings } = this.options;
+    return settings.cluster.zones.includes(zone) && !cloud.isBackedOff(type, zone, spot);
+  }
+
+  private planRentals(
     usable: Machine[],
-    { retained, freeResources }: PlacementResult,
-    unplaced: PlacementResult['unplaced'],
+    { freeResources }: PlacementResult,
+    unplaced: Unplaced[],
     now: WallMs,
-  ): CapacityInput {
-    const { cloud, isOverdue, nextRentalName, policy, settings, state, workers } = this.options;
-    return {
-      ...{ state, now, unplaced, usable, freeResources, retained, policy },
-      zones: settings.cluster.zones,
-      isBackedOff: (type, zone, spot) => cloud.isBackedOff(type, zone, spot),
-      nextRentalName,
+  ): LogEntry[] {
+    const { nextRentalName, policy, state } = this.options;
+    return planRentals({
+      ...{ state, now, unplaced, usable, freeResources, policy, nextRentalName },
+      isRentable: (offer) => this.isRentable(offer),
       secondsRemaining: (attempt) => {
         const run = this.secondsRun(attempt);
         return run === null || attempt.stop ? Infinity : attempt.job.spec.estimate - run;
       },
+      completionObjectiveS: (name) => this.tightestObjectiveS.get(name) ?? 0,
+    });
+  }
+
+  private planReturns({ retained }: PlacementResult, now: WallMs): LogEntry[] {
+    const { isOverdue, policy, settings, state, workers } = this.options;
+    return planReturns({
+      ...{ state, now, retained, policy, isOverdue },
       secondsSilent: (machine) => workers.intake.secondsSilent(machine),
       mostAreSilent: this.areMostSilent(),
-      isOverdue,
-      completionObjectiveS: (name) => this.tightestObjectiveS.get(name) ?? 0,
       leaseS: settings.cluster.workers.lease_s,
-    };
+    });
   }
 
   /** Whether most machines are silent, so that the cause may be the network. */
--- a/src/core/allocation.ts
+++ b/src/core/allocation.ts
@@ -1,6 +1,7 @@
 /** Allocates machines to the tasks of one job: the best of a few sampled machines, then the best of all. */
 import { addTo, fits } from './resources.js';
 import { hasImage, placementCost, slotCount, type Candidate } from './candidates.js';
+import type { ZoneAllowance } from './constraints.js';
 import type { Job } from './model.js';
 
 /** Source of random numbers. */
@@ -27,19 +28,17 @@
   sampleSize: number,
   random: Random,
   restartCritical: boolean,
-  /** How many more tasks of the job a zone may take. */
-  zoneAllowance: (zone: string) => number,
+  /** How many more tasks of the job a zone may take; what is allocated here is taken from it. */
+  allowance: ZoneAllowance,
 ): Allocation[] {
   const spec = job.spec;
   const allocations: Allocation[] = [];
   let remaining = taskCount;
   const allocateOn = (target: Candidate): void => {
-    const count = Math.min(
-      remaining,
-      slotCount(target, spec),
-      zoneAllowance(target.machine.zone) - allocatedInZone(allocations, target.machine.zone, spec.spread),
-    );
-    if (count <= 0) return;
+    const { zone } = target.machine;
+    const count = Math.min(remaining, slotCount(target, spec), allowance.remaining(zone));
+    if (count === 0) return;
+    allowance.take(zone, count);
     addTo(target, spec, -count);
     remaining -= count;
     allocations.push({ candidate: target, taskCount: count });
@@ -74,8 +73,18 @@
   return allocations;
 }
 
-/** Tasks allocated in the zone so far, counted only for a job that is to be spread over zones. */
-const allocatedInZone = (allocations: Allocation[], zone: string, isSpread: boolean): number =>
-  isSpread
-    ? allocations.reduce((sum, one) => sum + (one.candidate.machine.zone === zone ? one.taskCount : 0), 0)
-    : 0;
+/** Gives allocated places back to the candidates and to the job's allowance. */
+export function releaseAllocations(
+  allocations: readonly Allocation[],
+  job: Job,
+  allowance: ZoneAllowance,
+): void {
+  for (const { candidate, taskCount } of allocations) {
+    addTo(candidate, job.spec, taskCount);
+    allowance.take(candidate.machine.zone, -taskCount);
+  }
+}
+
+/** How many tasks the allocations hold. */
+export const countTasks = (allocations: readonly Allocation[]): number =>
+  allocations.reduce((sum, allocation) => sum + allocation.taskCount, 0);
--- a/src/core/candidates.ts
+++ b/src/core/candidates.ts
@@ -30,16 +30,6 @@
 export const hasImage = (candidate: Candidate, job: Job): boolean =>
   candidate.machine.images.has(job.spec.image) || candidate.fetches.has(job.spec.image);
 
-/** Upholds wrong_place: checks a machine's type, zone and spot market against the job's constraints. */
-export const meetsConstraints = (job: Job, machine: { type: string; zone: string; spot: boolean }): boolean =>
-  (!job.spec.types || job.spec.types.includes(machine.type)) &&
-  (!job.spec.zone || machine.zone === job.spec.zone) &&
-  (job.spec.spot || !machine.spot);
-
-/** Equal for jobs with the same placement constraints. */
-export const constraintKey = (spec: JobSpec): string =>
-  `${spec.types?.join() ?? ''}|${spec.zone ?? ''}|${spec.spot}`;
-
 /** Requests that no machine could satisfy in this round; requests at least as large are not tried again. */
 export class InfeasibleRequests {
   private readonly requests = new Map<string, Resources[]>();
--- a/src/core/fit.ts
+++ b/src/core/fit.ts
@@ -1,18 +1,8 @@
-/** Which jobs fit which machine types, and which jobs can never run. */
+/** Which jobs can never run, and which machine types some job depends on. */
+import { fitsType, zonesOfType } from './constraints.js';
 import type { ClusterState } from './state.js';
 import { RESOURCE_EPSILON, type JobSpec, type MachineType, type Team } from './types.js';
 
-/** Whether a task fits an empty machine of the type, in a zone that the job allows. */
-export function fitsType(spec: JobSpec, type: MachineType): boolean {
-  return (
-    (!spec.types || spec.types.includes(type.name)) &&
-    (!spec.zone || type.zones.includes(spec.zone)) &&
-    type.cpus + RESOURCE_EPSILON >= spec.cpus &&
-    type.gpus + RESOURCE_EPSILON >= spec.gpus &&
-    type.mem + RESOURCE_EPSILON >= spec.mem
-  );
-}
-
 /** Machine types that are the only fitting one for some unfinished job; none if there is just one type. */
 export function soleFitTypes(state: ClusterState): Set<string> {
   const soleFits = new Set<string>();
@@ -28,6 +18,8 @@
 /** Why a submission is refused: 422 for a job that can never run, 503 while that can't be decided yet. */
 export type Refusal = { status: 422 | 503; reason: string };
 
+const neverRuns = (reason: string): Refusal => ({ status: 422, reason });
+
 /** Checks whether a submitted job can run at all; null if it can. */
 export function checkAdmission(
   spec: JobSpec,
@@ -35,26 +27,36 @@
   types: Iterable<MachineType>,
 ): Refusal | null {
   const team = teams.find((one) => one.name === spec.team);
-  if (!team) return { status: 422, reason: `team: found '${spec.team}', expected a team of the settings` };
+  if (!team) return neverRuns(`team: found '${spec.team}', expected a team of the settings`);
   const known = [...types];
   if (known.length === 0) return { status: 503, reason: 'machine types not known yet' };
-  if (!known.some((type) => fitsType(spec, type)))
-    return {
-      status: 422,
-      reason:
-        `cpus, gpus, mem: found ${spec.cpus}, ${spec.gpus} and ${spec.mem} GB per task, ` +
+  return checkMachines(spec, known) ?? checkTeamLimit(spec, team);
+}
+
+/** How many tasks of the job run at the same time at the least. */
+const tasksAtOnce = (spec: JobSpec): number => (spec.gang ? spec.tasks : 1);
+
+/** Checks whether a task fits a machine of the types, in a zone that the job allows. */
+function checkMachines(spec: JobSpec, types: readonly MachineType[]): Refusal | null {
+  const zones = new Set(types.flatMap((type) => zonesOfType(spec, type)));
+  if (zones.size === 0)
+    return neverRuns(
+      `cpus, gpus, mem: found ${spec.cpus}, ${spec.gpus} and ${spec.mem} GB per task, ` +
         "expected at most what a machine type in the job's types and zone has",
-    };
-  const tasksAtOnce = spec.gang ? spec.tasks : 1;
+    );
+  return null;
+}
+
+/** Checks whether as many tasks as run at once are within the team's limit. */
+function checkTeamLimit(spec: JobSpec, team: Team): Refusal | null {
+  const tasks = tasksAtOnce(spec);
   if (
-    spec.cpus * tasksAtOnce > team.cpusMax + RESOURCE_EPSILON ||
-    spec.gpus * tasksAtOnce > team.gpusMax + RESOURCE_EPSILON
+    spec.cpus * tasks <= team.cpusMax + RESOURCE_EPSILON &&
+    spec.gpus * tasks <= team.gpusMax + RESOURCE_EPSILON
   )
-    return {
-      status: 422,
-      reason:
-        `tasks, cpus, gpus: found ${tasksAtOnce} at once with ${spec.cpus} cpus and ${spec.gpus} gpus each, ` +
-        `expected at most the team's limits of ${team.cpusMax} cpus and ${team.gpusMax} gpus in all`,
-    };
-  return null;
+    return null;
+  return neverRuns(
+    `tasks, cpus, gpus: found ${tasks} at once with ${spec.cpus} cpus and ${spec.gpus} gpus each, ` +
+      `expected at most the team's limits of ${team.cpusMax} cpus and ${team.gpusMax} gpus in all`,
+  );
 }
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -1,18 +1,21 @@
 /** Places tasks: best fit among sampled machines, then among all; a gang as a whole or not at all. */
 import { chunked } from './chunked.js';
 import { tasksWithinLimit, type Claim } from './claims.js';
-import { allocate, type Allocation, type Random } from './allocation.js';
-import { fitsType, soleFitTypes } from './fit.js';
+import { allocate, countTasks, releaseAllocations, type Allocation, type Random } from './allocation.js';
+import { allowsOffer, constraintKey, fitsOffer, ZoneAllowance } from './constraints.js';
+import { soleFitTypes } from './fit.js';
 import { avoidsMachine, type Job, type Machine, type TaskAttempt } from './model.js';
-import { offerKey } from './offers.js';
+import type { Offer } from './offers.js';
 import { reserve } from './reserve.js';
 import { addTo, fits, sumOf, type Resources } from './resources.js';
-import { constraintKey, delaysGangFetch, hasImage, isMultiTaskGang, slotCount } from './candidates.js';
-import { InfeasibleRequests, isRestartCritical, meetsConstraints, type Candidate } from './candidates.js';
+import { delaysGangFetch, hasImage, isMultiTaskGang } from './candidates.js';
+import { InfeasibleRequests, isRestartCritical, type Candidate } from './candidates.js';
 import type { ClusterState } from './state.js';
-import { RESOURCE_EPSILON, type LogEntry, type MachineId, type Team, type WallMs } from './types.js';
+import { RESOURCE_EPSILON, type JobSpec, type LogEntry, type MachineId } from './types.js';
+import type { Team, WallMs } from './types.js';
 import { countWaitingTasks, waitingTasks } from './waiting-tasks.js';
-import { candidateZones, tasksPerZone } from './zones.js';
+import { ZoneCapacities } from './zone-capacities.js';
+import { candidateZones } from './zones.js';
 
 export interface PlacementInput {
   state: ClusterState;
@@ -26,8 +29,8 @@
   /** Seconds within which a class's jobs are to finish; 0 if it has no objective, or one for the start. */
   completionObjectiveS: (className: string) => number;
   isFetching: (attempt: TaskAttempt) => boolean;
-  /** Whether the cloud may have more machines of a type in a zone, spot or on demand. */
-  canRent: (type: string, zone: string, spot: boolean) => boolean;
+  /** Whether machines of the offer may be rented for the job now. */
+  canRent: (spec: JobSpec, offer: Offer) => boolean;
   /** Machines that the previous round reserved or drained for a gang; other jobs avoid them if they can. */
   reserved: ReadonlySet<Machine>;
   maxStarts: number;
@@ -39,8 +42,8 @@
   tasks: number;
   /** Whether the job is within its team's guarantee. */
   guaranteed: boolean;
-  /** Zone in which places are reserved for other tasks of a one-zone job. */
-  zone: string | null;
+  /** How many more tasks of the job a zone may take, beside those that have a place. */
+  allowance: ZoneAllowance;
 }
 
 export interface PlacementResult {
@@ -66,9 +69,6 @@
 
 export const place = (input: PlacementInput): PlacementResult => new PlacementRound(input).run();
 
-const countTasks = (allocations: readonly Allocation[]): number =>
-  allocations.reduce((sum, allocation) => sum + allocation.taskCount, 0);
-
 /** Places the tasks of all claims, in order; holds what the round has assigned so far. */
 class PlacementRound {
   private readonly candidates: Candidate[];
@@ -79,7 +79,7 @@
   private readonly releasing: Candidate[];
   private readonly infeasible = new InfeasibleRequests();
   private readonly teamUsage: Map<string, { cpus: number; gpus: number }>;
-  private readonly machineCountByOffer = new Map<string, number>();
+  private readonly zoneCapacities: ZoneCapacities;
   private readonly entries: LogEntry[] = [];
   private readonly unplaced: Unplaced[] = [];
   private readonly retained = new Set<Machine>();
@@ -93,10 +93,7 @@
     this.free = this.candidates.filter((candidate) => candidate.cpus > RESOURCE_EPSILON);
     this.releasing = this.candidates.filter((candidate) => candidate.releasing.cpus > RESOURCE_EPSILON);
     this.teamUsage = new Map([...input.state.teamUsage].map(([team, usage]) => [team, { ...usage }]));
-    for (const { machine } of this.candidates) {
-      const offer = offerKey(machine);
-      this.machineCountByOffer.set(offer, (this.machineCountByOffer.get(offer) ?? 0) + 1);
-    }
+    this.zoneCapacities = new ZoneCapacities(input.state, input.usable, input.canRent);
   }
 
   run(): PlacementResult {
@@ -119,18 +116,18 @@
     const wanted = this.startableTasks(job, waiting);
     if (wanted === 0) return;
     const feasible = this.feasibleCandidates(job).filter((candidate) => !delaysGangFetch(candidate, job));
-    const allocations = this.allocate(job, wanted, feasible);
-    if (allocations === null) return;
+    const allowance = ZoneAllowance.beside(job);
+    const allocations = this.allocate(job, wanted, feasible, allowance);
     if (allocations.length > 0) this.start(job, wanted, allocations);
-    const remaining = wanted - countTasks(allocations);
-    if (remaining > 0) this.reserveFor(job, remaining, feasible, guaranteed);
+    const tasks = wanted - countTasks(allocations);
+    if (tasks > 0) this.reserveFor({ job, tasks, guaranteed, allowance }, feasible);
   }
 
   /** Keeps a broken gang's places, where images are present or being fetched, for its next attempt. */
   private retainGangPlaces(job: Job): void {
     for (const id of job.places) {
       const candidate = this.candidateById.get(id);
-      if (!candidate || !fits(candidate, job.spec) || !meetsConstraints(job, candidate.machine)) continue;
+      if (!candidate || !fits(candidate, job.spec) || !allowsOffer(job.spec, candidate.machine)) continue;
       addTo(candidate, job.spec, -1);
       this.retained.add(candidate.machine);
     }
@@ -153,7 +150,7 @@
   }
 
   private isEligible(job: Job, { machine }: Candidate): boolean {
-    return meetsConstraints(job, machine) && !avoidsMachine(job, machine.id, this.input.now);
+    return allowsOffer(job.spec, machine) && !avoidsMachine(job, machine.id, this.input.now);
   }
 
   private feasibleCandidates(job: Job): Candidate[] {
@@ -166,22 +163,17 @@
     return feasible;
   }
 
-  /** Allocates places and takes them from the candidates; null if no task of the job may be placed now. */
-  private allocate(job: Job, wanted: number, feasible: Candidate[]): Allocation[] | null {
+  /** Allocates places and takes them from the candidates; none if no task of the job may be placed now. */
+  private allocate(job: Job, wanted: number, feasible: Candidate[], allowance: ZoneAllowance): Allocation[] {
     const { now, random, sampleSize, completionObjectiveS } = this.input;
     const { spec } = job;
     const restartCritical = isRestartCritical(job, now, completionObjectiveS(spec.class));
-    const perZone = tasksPerZone(job);
-    const zones = candidateZones(job, perZone, feasible, restartCritical);
-    if (zones === null) return null;
-    const maxPerZone = spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
-    const zoneAllowance = (zone: string): number => maxPerZone - (perZone.get(zone) ?? 0);
-    for (const zone of zones) {
+    for (const zone of candidateZones(job, allowance, feasible, restartCritical)) {
       const pool = zone === null ? feasible : feasible.filter((candidate) => candidate.machine.zone === zone);
-      const allocations = allocate(pool, job, wanted, sampleSize, random, restartCritical, zoneAllowance);
+      const allocations = allocate(pool, job, wanted, sampleSize, random, restartCritical, allowance);
       // A gang is placed as a whole or not at all; a one-zone array takes the first zone with a place.
       if (allocations.length > 0 && (!spec.gang || countTasks(allocations) === wanted)) return allocations;
-      for (const { candidate, taskCount } of allocations) addTo(candidate, spec, taskCount);
+      releaseAllocations(allocations, job, allowance);
     }
     return [];
   }
@@ -216,44 +208,37 @@
   }
 
   /** Reserves resources that are being released for the job, so that later claims don't take them. */
-  private reserveFor(job: Job, remaining: number, feasible: Candidate[], guaranteed: boolean): void {
-    const { state, now } = this.input;
-    const { spec } = job;
-    // One gang at a time: machines drained for several gangs would stand half empty and serve none of them.
-    const drains = spec.gang && !this.isDraining && now - job.at > DRAIN_AFTER_S * 1000;
-    this.isDraining ||= drains;
-    const isEligible = (candidate: Candidate): boolean => this.isEligible(job, candidate);
-    const isDrainable = (candidate: Candidate): boolean => {
-      const type = state.machineTypes.get(candidate.machine.type);
-      return isEligible(candidate) && type !== undefined && fitsType(spec, type);
-    };
-    const result = reserve(
-      spec.gang ? feasible : [],
-      this.releasing.filter(isEligible),
+  private reserveFor(unplaced: Unplaced, feasible: Candidate[]): void {
+    const { job, tasks } = unplaced;
+    const wasDraining = this.isDraining;
+    const reservedCount = reserve({
       job,
-      remaining,
-      drains ? this.candidates.filter(isDrainable) : [],
-      (zone) => this.zoneCapacity(job, zone),
-      this.reserved,
-    );
-    if (drains) this.free = this.free.filter((candidate) => candidate.cpus > RESOURCE_EPSILON);
-    const tasks = remaining - result.taskCount;
-    if (tasks > 0) this.unplaced.push({ job, tasks, guaranteed, zone: result.zone });
+      taskCount: tasks,
+      allowance: unplaced.allowance,
+      feasible,
+      releasing: this.releasing.filter((candidate) => this.isEligible(job, candidate)),
+      drainable: () => this.drainableFor(job),
+      zoneCapacities: () => this.zoneCapacities.of(job.spec),
+      reserved: this.reserved,
+    });
+    if (this.isDraining !== wasDraining)
+      this.free = this.free.filter((candidate) => candidate.cpus > RESOURCE_EPSILON);
+    if (reservedCount < tasks) this.unplaced.push({ ...unplaced, tasks: tasks - reservedCount });
   }
 
-  /** How many of a job's tasks a zone's machines hold when empty; no limit if more can be rented. */
-  private zoneCapacity(job: Job, zone: string): number {
-    let tasks = 0;
-    for (const type of this.input.state.machineTypes.values()) {
-      if (!fitsType(job.spec, type) || !type.zones.includes(zone)) continue;
-      for (const spot of [true, false]) {
-        const offer = { type: type.name, zone, spot };
-        if (!meetsConstraints(job, offer)) continue;
-        if (this.input.canRent(type.name, zone, spot)) return Infinity;
-        tasks += slotCount(type, job.spec) * (this.machineCountByOffer.get(offerKey(offer)) ?? 0);
-      }
-    }
-    return tasks;
+  /** Machines that may be drained for a gang; none while it is young, or another one's are being drained. */
+  private drainableFor(job: Job): Candidate[] {
+    // One gang at a time: machines drained for several gangs would stand half empty and serve none of them.
+    if (this.isDraining || this.input.now - job.at <= DRAIN_AFTER_S * 1000) return [];
+    this.isDraining = true;
+    return this.candidates.filter((candidate) => this.isDrainable(job, candidate));
+  }
+
+  /** Whether a task would fit the machine if it were empty. */
+  private isDrainable(job: Job, candidate: Candidate): boolean {
+    const { type: typeName, zone, spot } = candidate.machine;
+    const type = this.input.state.machineTypes.get(typeName);
+    return type !== undefined && fitsOffer(job.spec, type, zone, spot) && this.isEligible(job, candidate);
   }
 }
 
--- a/test/checker.test.ts
+++ b/test/checker.test.ts
@@ -124,6 +124,26 @@
     wait(free(4));
     expect(checker.violations[0]).toMatch(/^waits: wk-1 /);
   });
+  it('waits: counts only places that can hold all tasks of a gang at once, divided as it asks', () => {
+    const gang = { shape: 'ensemble' as const, shifts: 2, yard: null };
+    const machine = (id: string, zone: string, cpus = 8) => ({ place: place(id, zone), cpus, mem: 9 });
+    const violationsOf = (over: Partial<JobOnWire>, machines: ReturnType<typeof machine>[]): number => {
+      const before = checker.violations.length;
+      const id = `wk-${now}`;
+      checker.submitted(job({ ...gang, ...over, name_id: id }));
+      checker.answer('submit', id, 201, 'queued');
+      for (const end = now + 100_000; now < end; now += 5000) checker.checkWaiting(machines);
+      checker.cancellationRequested(id);
+      return checker.violations.length - before;
+    };
+    // Two tasks of four CPUs each fit one machine.
+    expect(violationsOf({}, [machine('m1', 'a')])).toBeGreaterThan(0);
+    expect(violationsOf({}, [machine('m1', 'a', 4)])).toBe(0);
+    expect(violationsOf({}, [machine('m1', 'a', 4), machine('m2', 'b', 4)])).toBeGreaterThan(0);
+    expect(violationsOf({ together: true }, [machine('m1', 'a', 4), machine('m2', 'b', 4)])).toBe(0);
+    expect(violationsOf({ spread: true }, [machine('m1', 'a')])).toBe(0);
+    expect(violationsOf({ spread: true }, [machine('m1', 'a'), machine('m2', 'b')])).toBeGreaterThan(0);
+  });
   it('forgotten', () => {
     checker.submitted(job());
     checker.answer('submit', 'wk-1', 201, 'queued');
--- a/test/fakes/checker.ts
+++ b/test/fakes/checker.ts
@@ -33,6 +33,13 @@
   spot: boolean;
 }
 
+/** A machine and what no task uses of it. */
+export interface FreeMachine {
+  place: MachineInfo;
+  cpus: number;
+  mem: number;
+}
+
 /** Fields that an accepted job must have. */
 const FIELDS = [
   'duty',
@@ -233,34 +240,49 @@
    * each machine in use.
    */
   checkWaiting(
-    machines: { place: MachineInfo; cpus: number; mem: number }[],
+    machines: readonly FreeMachine[],
     failing: (id: string) => boolean = () => false,
     maxWaitMs = 90_000,
   ): void {
-    const isWaiting = (id: string): boolean => {
-      if (this.reportedStandings.get(id) !== 'accepted' || this.cancellationRequests.has(id) || failing(id))
-        return false;
-      const job = this.jobs.get(id)!;
-      const tasksToPlace = job.shape === 'ensemble' ? job.shifts : 1;
-      const cpusMax = this.teams.find((t) => t.name === job.desk)!.cpusMax;
-      if ((this.cpusUsed.get(job.desk) ?? 0) + job.cpus * tasksToPlace > cpusMax) return false;
-      const fitting = machines.filter(
-        (m) => this.isAllowed(job, m.place) && m.cpus >= job.cpus && m.mem >= job.mem_gb,
-      );
-      const zones = new Set(fitting.map((m) => m.place.zone));
-      if (![...zones].some((zone) => fitting.filter((m) => m.place.zone === zone).length >= tasksToPlace))
-        return false;
-      const completed = this.completedTasks.get(id);
-      for (let i = 0; i < job.shifts; i++)
-        if (!completed?.has(i) && (this.machinesOf(id, `${id}/${i}`)?.size ?? 0) === 0) return true;
-      return false;
-    };
     for (const id of this.reportedStandings.keys())
-      if (!isWaiting(id)) this.waitingSince.delete(id);
+      if (failing(id) || !this.isWaitingBesideRoom(id, machines)) this.waitingSince.delete(id);
       else if (!this.waitingSince.has(id)) this.waitingSince.set(id, this.now());
       else if (this.now() - this.waitingSince.get(id)! > maxWaitMs)
         this.report('waits', `${id} although a machine has room for it`);
   }
+
+  private isWaitingBesideRoom(id: string, machines: readonly FreeMachine[]): boolean {
+    if (this.reportedStandings.get(id) !== 'accepted' || this.cancellationRequests.has(id)) return false;
+    const job = this.jobs.get(id)!;
+    const tasks = job.shape === 'ensemble' ? job.shifts : 1;
+    const cpusMax = this.teams.find((t) => t.name === job.desk)!.cpusMax;
+    if ((this.cpusUsed.get(job.desk) ?? 0) + job.cpus * tasks > cpusMax) return false;
+    if (this.placesFor(job, machines) < tasks) return false;
+    const completed = this.completedTasks.get(id);
+    for (let i = 0; i < job.shifts; i++)
+      if (!completed?.has(i) && (this.machinesOf(id, `${id}/${i}`)?.size ?? 0) === 0) return true;
+    return false;
+  }
+
+  /** How many more tasks of a job could be present at once on the machines, beside those that are. */
+  private placesFor(job: JobOnWire, machines: readonly FreeMachine[]): number {
+    const present = new Map<string, number>();
+    for (const on of this.placements.get(job.name_id)?.values() ?? [])
+      for (const { zone } of on.values()) present.set(zone, (present.get(zone) ?? 0) + 1);
+    const free = new Map<string, number>();
+    for (const { place, cpus, mem } of machines) {
+      if (!this.isAllowed(job, place)) continue;
+      const slots = Math.floor(Math.min(cpus / job.cpus, mem / job.mem_gb) + 1e-6);
+      free.set(place.zone, (free.get(place.zone) ?? 0) + slots);
+    }
+    const perZone = [...free].map(([zone, places]) => {
+      const occupiedElsewhere = [...present.keys()].some((other) => other !== zone);
+      if (job.together && occupiedElsewhere) return 0;
+      const most = job.spread ? Math.ceil(job.shifts / 2) - (present.get(zone) ?? 0) : Infinity;
+      return Math.min(places, most);
+    });
+    return job.together ? Math.max(0, ...perZone) : perZone.reduce((sum, places) => sum + places, 0);
+  }
   private readonly waitingSince = new Map<string, number>();
 
   /** Checks, at the end of a test, ran_cancelled for the tasks that still run, and nothing_ran. */
--- a/test/fakes/scenarios.ts
+++ b/test/fakes/scenarios.ts
@@ -11,7 +11,7 @@
 };
 
 /** Checks waits: a task that fits on a machine with free resources starts within 90 s. */
-const checkWaiting = (w: World): void => {
+export const checkWaiting = (w: World): void => {
   const usable = [...w.workers.values()].filter(
     (worker) => !worker.failsTasks && !w.network.isUnreachable(worker.place.id),
   );
--- a/test/fakes/worker.ts
+++ b/test/fakes/worker.ts
@@ -1,6 +1,6 @@
 import type { HttpResponse, HttpCall } from '../../src/io/http-client.js';
 import type { MachineType } from '../../src/core/types.js';
-import type { Checker, JobOnWire, MachineInfo } from './checker.js';
+import type { Checker, FreeMachine, JobOnWire, MachineInfo } from './checker.js';
 import type { VirtualTime } from './clock.js';
 
 /** An attempt of a task on a worker, with the standing and cause of the protocol. */
@@ -350,7 +350,7 @@
   }
 
   /** CPUs and memory that no task uses. */
-  get freeResources(): { place: MachineInfo; cpus: number; mem: number } {
+  get freeResources(): FreeMachine {
     const type = this.environment.type(this.place.type);
     const unfinished = [...this.tasks.values()].filter((task) => task.standing !== 'ended');
     const total = (amountOf: (job: JobOnWire) => number): number =>
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -43,7 +43,7 @@
 
 /** Settings of the cluster that replace the defaults below. */
 export type ClusterOverrides = Partial<
-  Record<'teams' | 'state' | 'cloud' | 'machine_limits' | 'workers', unknown>
+  Record<'zones' | 'teams' | 'state' | 'cloud' | 'machine_limits' | 'workers', unknown>
 >;
 
 /** Settings of node `index` of `nodes`. */
--- a/test/log.test.ts
+++ b/test/log.test.ts
@@ -2,7 +2,7 @@
 import { deflateSync } from 'node:zlib';
 import { LogActor } from '../src/actors/log.js';
 import { toJsonLines, toCompressedChunks, stateFromChunks } from '../src/actors/snapshot.js';
-import { planReturns, type CapacityInput } from '../src/core/capacity.js';
+import { planReturns, type ReturnsInput } from '../src/core/returns.js';
 import { dumpState } from '../src/core/state-dump.js';
 import { ClusterState } from '../src/core/state.js';
 import type { LogEntry, MachineId, WallMs } from '../src/core/types.js';
@@ -125,7 +125,7 @@
       mostAreSilent: false,
       retained: new Set(),
       policy: { idleTimeoutS: () => 1, silenceTimeoutS: () => 11, rentSpot: () => true },
-    } as unknown as CapacityInput);
+    } as unknown as ReturnsInput);
     expect(drops.flatMap((entry) => (entry.e === 'drop' ? entry.m : [])).length).toBe(1000);
     for (const entry of drops) expect(JSON.stringify(entry).length).toBeLessThan(6000);
   });
