--- a/test/fakes/scenarios.ts
+++ b/test/fakes/scenarios.ts
@@ -1,8 +1,11 @@
 /** Steps that several simulations share: their start, failures, and the checks at their end. */
 import { expect } from 'vitest';
 import type { JobOnWire } from './checker.js';
+import { checkWaiting, resolved } from './steps.js';
 import { World } from './world.js';
 
+export { resolved } from './steps.js';
+
 /** A simulated cluster in which a controller already leads. */
 export const startWorld = async (seed: number): Promise<World> => {
   const w = new World(seed);
@@ -10,17 +13,6 @@
   return w;
 };
 
-/** Checks waits: a task that fits on a machine with free resources starts within 90 s. */
-export const checkWaiting = (w: World): void => {
-  const usable = [...w.workers.values()].filter(
-    (worker) => !worker.failsTasks && !w.network.isUnreachable(worker.place.id),
-  );
-  w.checker.checkWaiting(
-    usable.map((worker) => worker.freeResources),
-    (id) => w.failingJobs.has(id),
-  );
-};
-
 /** Expects every job to be over within the given time and no rule of the checker to be violated. */
 export const expectAllOver = async (w: World, withinS: number): Promise<void> => {
   let allFinished = false;
@@ -47,14 +39,6 @@
   expect([...unanswered]).toEqual([]);
 };
 
-/** Advances the virtual time until a promise resolves, at most by 10 s; returns its value. */
-export async function resolved<T>(w: World, promise: Promise<T>): Promise<T> {
-  let result: { value: T } | null = null;
-  void promise.then((value) => (result = { value }));
-  await w.time.runUntil(() => result !== null, 10_000);
-  return result!.value;
-}
-
 /** Time within which a cancelled job's tasks must have stopped, as in the settings of the tests. */
 export const CANCEL_MS = 45_000;
 
