Rent machines in every zone that the cloud lists, those of the settings first

Change: what may be rented follows from the cloud's list, as in admission and placement.

Tests: "a job bound to a zone that the cloud lists and the settings do not runs there" failed before the change. The property test's worlds now have settings that lack zones.

--- a/src/actors/round-planner.ts
+++ b/src/actors/round-planner.ts
@@ -182,8 +182,7 @@
 
   /** Whether machines of the offer are requested now; not for a while after the cloud had too few. */
   private isRentable({ type, zone, spot }: Offer): boolean {
-    const { cloud, settings } = this.options;
-    return settings.cluster.zones.includes(zone) && !cloud.isBackedOff(type, zone, spot);
+    return !this.options.cloud.isBackedOff(type, zone, spot);
   }
 
   private planRentals(
@@ -192,10 +191,11 @@
     unplaced: Unplaced[],
     now: WallMs,
   ): LogEntry[] {
-    const { nextRentalName, policy, state } = this.options;
+    const { nextRentalName, policy, settings, state } = this.options;
     return planRentals({
       ...{ state, now, unplaced, usable, freeResources, policy, nextRentalName },
       isRentable: (offer) => this.isRentable(offer),
+      isPreferredZone: (zone) => settings.cluster.zones.includes(zone),
       secondsRemaining: (attempt) => {
         const run = this.secondsRun(attempt);
         return run === null || attempt.stop ? Infinity : attempt.job.spec.estimate - run;
--- a/src/core/rentals.ts
+++ b/src/core/rentals.ts
@@ -17,6 +17,8 @@
   unplaced: readonly Unplaced[];
   /** Whether machines of the offer are requested now; not for a while after the cloud had too few. */
   isRentable: (offer: Offer) => boolean;
+  /** Whether the settings name the zone; others are used where these are not enough. */
+  isPreferredZone: (zone: string) => boolean;
   nextRentalName: () => string;
   /** Machines that may take work, and what this round leaves free on each. */
   usable: Machine[];
@@ -41,7 +43,7 @@
   spec: JobSpec;
   tasks: number;
   allowance: ZoneAllowance;
-  /** What may be rented for the job, the cheapest first. */
+  /** What may be rented for the job, the best first. */
   options: RentalOption[];
 }
 
@@ -146,9 +148,9 @@
     return whole.allowance.canHold(whole.tasks, this.placesByZone(whole)) ? whole : null;
   }
 
-  /** What may be rented for the job, the cheapest for its tasks first. */
+  /** What may be rented for the job: preferred zones first, then what is cheapest for its tasks. */
   private rankOptions(job: Job, tasks: number): RentalOption[] {
-    const { completionObjectiveS, now, policy, state } = this.input;
+    const { completionObjectiveS, isPreferredZone, now, policy, state } = this.input;
     const { spec } = job;
     const fittingTypes = [...state.machineTypes.values()].filter((type) => fitsType(spec, type)).length;
     const restartCritical = isRestartCritical(job, now, completionObjectiveS(spec.class));
@@ -165,8 +167,8 @@
     };
     return this.options
       .filter(({ type, zone, spot }) => fitsOffer(spec, type, zone, spot) && (rentsSpot || !spot))
-      .map((option) => ({ option, cost: costOf(option) }))
-      .sort((a, b) => a.cost - b.cost)
+      .map((option) => ({ option, cost: costOf(option), isPreferred: isPreferredZone(option.zone) }))
+      .sort((a, b) => Number(b.isPreferred) - Number(a.isPreferred) || a.cost - b.cost)
       .map(({ option }) => option);
   }
 
@@ -197,7 +199,7 @@
 
   /**
    * The zone for all tasks of a one-zone job: the one with the most places in bins that can also provide the
-   * rest. Among equal ones, the one with the fewest rented CPUs: that spreads the load.
+   * rest. Among equal ones, a preferred one, with the fewest rented CPUs: that spreads the load.
    */
   private targetZone(need: Need): string | null {
     const slots = this.binPlaces(need);
@@ -207,10 +209,11 @@
       .map((choice) => choice!)
       .map((zone) => {
         const places = Math.min(need.tasks, slots.get(zone) ?? 0);
-        return { zone, places, cpus: this.rentedCpus.get(zone) ?? 0 };
+        const isPreferred = Number(this.input.isPreferredZone(zone));
+        return { zone, places, isPreferred, cpus: this.rentedCpus.get(zone) ?? 0 };
       })
       .filter(({ zone, places }) => places === need.tasks || rentable.has(zone));
-    ranked.sort((a, b) => b.places - a.places || a.cpus - b.cpus);
+    ranked.sort((a, b) => b.places - a.places || b.isPreferred - a.isPreferred || a.cpus - b.cpus);
     return ranked[0]?.zone ?? null;
   }
 
--- a/test/fakes/placement-property.ts
+++ b/test/fakes/placement-property.ts
@@ -34,6 +34,8 @@
 export interface WorldPlan {
   seed: number;
   zonesOfTypes: [string[], string[]];
+  /** The settings may lack zones in which the cloud has machines. */
+  zonesOfSettings: string[];
   /** Number of machines of each type in each zone, on demand; null: any number. */
   capacity: (number | null)[];
   spotMachines: number;
@@ -78,6 +80,7 @@
 export const worldPlan: fc.Arbitrary<WorldPlan> = fc.record({
   seed: fc.integer({ min: 1, max: 1_000_000 }),
   zonesOfTypes: fc.tuple(zones, zones),
+  zonesOfSettings: zones,
   capacity: fc.array(fc.constantFrom(0, 1, 2, 3, null, null), { minLength: 6, maxLength: 6 }),
   spotMachines: fc.constantFrom(0, 0, 1, 3),
   cpuLimit: fc.constantFrom(16, 40, 100),
@@ -111,7 +114,7 @@
     ];
     const teams = ['red', 'blue'].map((name) => ({ name, cpus: 8, cpus_max: plan.cpuLimit }));
     this.teams = teams.map(({ cpus_max: cpusMax, ...team }) => ({ ...team, cpusMax, gpus: 0, gpusMax: 0 }));
-    this.world = new World(plan.seed, this.types, { teams, zones: ZONES });
+    this.world = new World(plan.seed, this.types, { teams, zones: plan.zonesOfSettings });
     this.types.forEach((type, t) =>
       ZONES.forEach((zone, z) => {
         const count = plan.capacity[t * ZONES.length + z];
--- a/test/zone-constraints.test.ts
+++ b/test/zone-constraints.test.ts
@@ -122,6 +122,18 @@
   });
 });
 
+// Guards against jobs that are accepted for a zone in which no machine is ever rented.
+describe('a job bound to a zone that the cloud lists and the settings do not', () => {
+  it('runs there', async () => {
+    const world = new World(831, [{ ...box, zones: ['a', 'b', 'c'] }], { zones: ['a', 'b'] });
+    await world.started();
+    const job = world.job({ yard: 'c' });
+    world.user(job);
+    expect(await isDoneWithin(world, job, 60_000)).toBe(true);
+    await expectAllOver(world, 100);
+  });
+});
+
 // Guards against jobs that are accepted though no division of their tasks between zones can ever hold them.
 describe('a gang whose tasks no division between zones can hold', () => {
   const submit = async (world: World, over: Partial<JobOnWire>): Promise<number> => {
