--- a/test/zone-constraints.test.ts
+++ b/test/zone-constraints.test.ts
@@ -103,6 +103,29 @@
   });
 });
 
+// Guards against a search that ends with the first zone, where the gang doesn't fit.
+describe('a gang in one zone', () => {
+  it('takes the places of lower-priority work in the zone that can hold all of its tasks', async () => {
+    const world = await worldWith(807, { a: 1, b: 2 });
+    // The work in the zone that is too small costs least to stop.
+    for (const [yard, shifts, waymark] of [
+      ['a', 1, 1],
+      ['b', 2, 0],
+    ] as const)
+      world.user(
+        world.job({
+          ...{ desk: 'blue', shifts, cpus: 8, yard, urgency: 'low', reckon_s: 300 },
+          ...{ waymark_s: waymark, stow_s: 1 },
+        }),
+      );
+    await world.time.run(60_000);
+    const gang = world.job({ shape: 'ensemble', shifts: 2, cpus: 8, together: true, urgency: 'high' });
+    world.user(gang);
+    expect(await isDoneWithin(world, gang, 40_000)).toBe(true);
+    await expectAllOver(world, 1000);
+  });
+});
+
 // Guards against rentals in zones in which the tasks of the job that run already forbid all others.
 describe('an array in one zone', () => {
   it('gets machines where its first tasks run', async () => {
